Gate by the fleet's memory and a stretch felt while runs last, not only once they end

The memory guard, by engine, let any one query pass, so hundreds of fronts with one query on each engine overfilled them all.

Changed: stretch also learns from progress notes and from runs overdue; one sample moves it by little; the usual is learned from the first 3 s (10 answers at least) and may stand higher than before; the bound follows the stretch at once instead of by steps, and grows by one thread an answer while it is usual; own memory out stays under 0.8 of this front's part of the fleet's; the part grows with the bound only where engines do not page; a front with clearly more arrivals than an equal part of all tenants' rates takes that for its share. Guards also against any cause that slows all engines (paging, thrash, something shared). Could harm where engines have slowed for good: then the least bound and its slow learning remain.

--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -7,8 +7,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import java.util.function.IntToDoubleFunction;
+import java.util.stream.IntStream;
 import reedspring.api.Action;
 import reedspring.api.Deployment;
 import reedspring.api.Deployment.Effect;
@@ -39,26 +42,27 @@
     private static final double THREADS_PER_CORE = 2;
 
     private static final double MOST_OF_ONE_GROUP = 0.75;
-
     // The bound's moves. Under half of its start the cores of an engine would idle whatever the mix.
     private static final double CALM = 0.6;
     private static final double LEAST_BOUND = 0.6;
-    private static final double MOST_BOUND = 2;
     private static final double USUAL_STRETCH = 1.1;
-    private static final double HIGH_STRETCH = 1.35;
+    private static final double ONE_STEP = 0.7;
+    private static final long FIRST_ANSWERS = 3 * SECOND;
+    private static final long ARRIVALS_WINDOW = 5 * SECOND;
+    private static final double BUSY_SHARE = 0.6;
+    private static final double MEMORY_PART = 0.8;
 
     // Health. At most half of the fleet may be barred: past that the trouble is not the engines'.
     private static final double MOST_BARRED = 0.5;
     private static final double FAULTY = 0.55;
+    private static final Set<Outcome> BAD =
+            Set.of(Outcome.ERROR, Outcome.BROKEN, Outcome.UNREACHABLE, Outcome.TURNED_AWAY);
     private static final long FIRST_BAR = SECOND / 2;
     private static final long LONGEST_BAR = 4 * SECOND;
     private static final long SILENCE = SECOND;
     private static final double SLOWER = 1.4;
     private static final long LONGEST_GHOST = 10 * SECOND;
 
-    // An engine reads faster what it read lately; worth a little imbalance, not a queue of its own.
-    private static final int READ_LATELY = 4;
-    private static final double WARM_SLACK = 0.25;
     private static final double COMES_LAST = 1e6;
 
     // Of what would push a cold engine over; the rest is for what estimates miss.
@@ -76,6 +80,7 @@
     private final Purse[] purses;
     private Consumer<Action> out;
     private final long bornAt;
+    private double usualPace;
     private long now;
 
     // One row for each engine ever listed, under its dense index.
@@ -189,6 +194,8 @@
         private boolean streaming;
         private boolean cancelled;
         private long notedAt;
+        private double share;
+        private long overdueAt = Long.MAX_VALUE;
         private int ranAt = -1;
         private long ranSince;
         private boolean unclear;
@@ -199,12 +206,9 @@
     private void listed(Event.EnginesListed list) {
         if (list.reading() != Event.Reading.CHANGES) {
             List<Id.Engine> named = list.entries().stream().map(Event.Listing::engine).toList();
-            for (Engine engine : fleet) {
-                if (!named.contains(engine.id)) {
-                    post(engine, new Listed(new Event.Listing(engine.id, engine.kind, engine.zone,
-                            engine.cell, Event.Health.GONE, 0)));
-                }
-            }
+            fleet.stream().filter(engine -> !named.contains(engine.id)).forEach(engine -> post(engine,
+                    new Listed(new Event.Listing(engine.id, engine.kind, engine.zone, engine.cell,
+                            Event.Health.GONE, 0))));
         }
         for (Event.Listing listing : list.entries()) {
             Engine engine = fleet.stream().filter(e -> e.id.equals(listing.engine())).findAny().orElse(null);
@@ -229,7 +233,6 @@
         private Id.Cell cell;
         private long bar = FIRST_BAR;
         private final ArrayDeque<long[]> sentCold = new ArrayDeque<>();
-        private final ArrayDeque<Id.DataSet> readLately = new ArrayDeque<>();
         private final List<Ghost> ghosts = new ArrayList<>();
 
         Engine(Event.Listing listing, int at) {
@@ -282,11 +285,6 @@
             if (ownQueries[at] == 0) {
                 heardAt[at] = now;
             }
-            readLately.remove(q.dataSet);
-            readLately.add(q.dataSet);
-            if (readLately.size() > READ_LATELY) {
-                readLately.poll();
-            }
             ownThreads[at] += q.threads;
             ownMemory[at] += q.needMb;
             ownQueries[at]++;
@@ -312,8 +310,7 @@
                 ownThreads[at] -= q.threads;
                 ownMemory[at] -= q.needMb;
             }
-            boolean bad = outcome == Outcome.ERROR || outcome == Outcome.BROKEN
-                    || outcome == Outcome.UNREACHABLE || outcome == Outcome.TURNED_AWAY;
+            boolean bad = BAD.contains(outcome);
             if (outcome == Outcome.FINISHED) {
                 faults[at] *= barred[at] ? 0.5 : 0.75;
                 pace(closed.took() * q.threads, closed.work() > 0 ? closed.work() : q.work);
@@ -362,13 +359,8 @@
         }
 
         private void bar(String why) {
-            int shut = 1;
-            int all = 0;
-            for (int k = 0; k < fleet.size(); k++) {
-                all += up[k] ? 1 : 0;
-                shut += up[k] && barred[k] ? 1 : 0;
-            }
-            if (shut <= all * MOST_BARRED) {
+            long all = IntStream.range(0, fleet.size()).filter(k -> up[k]).count();
+            if (overOpen(k -> 1) - 1 >= all * (1 - MOST_BARRED)) {
                 barred[at] = true;
                 barredUntil[at] = now + bar;
                 out.accept(new Action.Remark("engine " + id.address() + " " + why + ", barred"));
@@ -411,20 +403,19 @@
         heardAt = Arrays.copyOf(heardAt, size);
     }
 
-    /** Over the open engines; 0 if none has a figure. */
-    private double median(double[] figures) {
-        double[] known = new double[fleet.size()];
-        int count = 0;
+    private double overOpen(IntToDoubleFunction figure) {
+        double sum = 0;
         for (int k = 0; k < fleet.size(); k++) {
-            if (up[k] && !Double.isNaN(figures[k])) {
-                known[count++] = figures[k];
-            }
+            sum += up[k] && !barred[k] ? figure.applyAsDouble(k) : 0;
         }
-        if (count == 0) {
-            return 0;
-        }
-        Arrays.sort(known, 0, count);
-        return known[(count - 1) / 2];
+        return sum;
+    }
+
+    /** Over the listed engines; 0 if none has a figure. */
+    private double median(double[] figures) {
+        double[] known = IntStream.range(0, fleet.size()).filter(k -> up[k] && !Double.isNaN(figures[k]))
+                .mapToDouble(k -> figures[k]).sorted().toArray();
+        return known.length == 0 ? 0 : known[(known.length - 1) / 2];
     }
 
     private boolean cold(int at) {
@@ -432,7 +423,7 @@
     }
 
     /** Cores at the pace shown against the peers': a slow, crowded, failing or cold engine counts less. */
-    private double worth(int at, double usualPace) {
+    private double worth(int at) {
         double part = 1;
         if (cold(at)) {
             double from = house.coldStart().from();
@@ -524,9 +515,14 @@
         private double stretch;
         private double usualStretch;
         private long answers;
-        private long boundMovedAt;
         private long boundMetAt;
         private long askAgainAt = -1;
+        private double arrived;
+        private long arrivedAt;
+        private final double ratesTold;
+        private double memoryPart;
+        private double grown;
+        private double memoryRoom;
 
         Desk() {
             for (int k = 0; k < usualWork.length; k++) {
@@ -534,6 +530,7 @@
                 worksSeen[k] = 2;
             }
             mostThreads = house.groups().stream().mapToInt(g -> g.threads()).max().orElse(1);
+            ratesTold = house.tenants().stream().mapToDouble(Deployment.Tenant::queriesPerSecond).sum();
             soonest = house.groups().stream().mapToLong(g -> g.targetBase()).min().orElse(SECOND);
         }
 
@@ -557,9 +554,6 @@
                 Query q = queries.get(left.query());
                 if (q != null && !q.answered) {
                     over(q);
-                    if (q.outAt >= 0) {
-                        cancel(q);
-                    }
                 }
             } else if (event instanceof Event.StreamBegan began) {
                 Query q = queries.get(began.query());
@@ -592,6 +586,8 @@
             q.dataSet = taken.dataSet();
             q.target = now + group.targetBase() + (long) (group.targetPerWork() * q.work / q.threads);
             queries.put(q.id, q);
+            arrived = 1 + arrived * Math.exp((arrivedAt - now) / (double) ARRIVALS_WINDOW);
+            arrivedAt = now;
             if (house.ration() != null) {
                 takenAt.add(now);
             }
@@ -638,29 +634,32 @@
         // -- the gate
 
         private double bound() {
-            double usualPace = median(pace);
-            double sum = 0;
-            for (int k = 0; k < fleet.size(); k++) {
-                if (up[k] && !barred[k]) {
-                    sum += worth(k, usualPace);
-                }
-            }
-            return Math.max(mostThreads, sum * THREADS_PER_CORE / house.fronts() * factor);
+            double sum = overOpen(Control.this::worth);
+            return Math.max(mostThreads, (sum * THREADS_PER_CORE * share() + grown) * factor);
         }
 
-        private int threadsOut() {
-            int sum = 0;
-            for (int k = 0; k < fleet.size(); k++) {
-                // What sits on a barred engine would otherwise shut the gate to all the others.
-                sum += up[k] && !barred[k] ? ownThreads[k] : 0;
-            }
-            return sum;
+        /**
+         * An equal part, or for a front with clearly more than its part of the traffic what its arrivals are
+         * of all tenants' rates: fronts can be of very unequal traffic and can't ask one another.
+         */
+        private double share() {
+            double equal = 1.0 / house.fronts();
+            return ratesTold <= 0 ? equal : Math.max(equal, Math.min(1, BUSY_SHARE * arrived
+                    * Math.exp((arrivedAt - now) / (double) ARRIVALS_WINDOW)
+                    * SECOND / ARRIVALS_WINDOW / ratesTold));
+        }
+
+        /** What sits on a barred engine would otherwise shut the gate to all the others. */
+        private double threadsOut() {
+            return overOpen(k -> ownThreads[k]);
         }
 
         /** Lets one query go and calls itself by a note, so that the next sees the engine's new row. */
         private void release() {
             double bound = bound();
             double room = bound - threadsOut();
+            memoryPart = share() * (house.pages() ? 1 : 1 + grown / (bound / factor - grown));
+            memoryRoom = overOpen(k -> memoryMb[k] * memoryPart * MEMORY_PART - ownMemory[k]);
             boolean mixed = Arrays.stream(waitingIn).filter(count -> count > 0).count() > 1;
             for (Purse purse : inOrder()) {
                 // While others wait, one group leaves them a part of the bound: in a line in arrival order
@@ -715,38 +714,28 @@
 
         /** The engine with fewest own threads for each core of those that can take the query, or -1. */
         private int choose(Query q) {
-            double usualPace = median(pace);
             int best = -1;
-            int warm = -1;
             double least = Double.MAX_VALUE;
-            double leastWarm = Double.MAX_VALUE;
             for (int k = 0; k < fleet.size(); k++) {
                 if (!allowed(q, k)) {
                     continue;
                 }
-                if (barred[k]) {
-                    if (trial(q, k)) {
-                        return k;
-                    }
-                    continue;
+                if (barred[k] && trial(q, k)) {
+                    return k;
                 }
-                if (!memoryFits(q, k) || !fleet.get(k).coldRoom(q)) {
+                if (barred[k] || !memoryFits(q, k) || !fleet.get(k).coldRoom(q)) {
                     continue;
                 }
                 // Engines too slow for its target come after all others, and the one that failed it last.
                 boolean late = now + q.work / q.threads * Math.exp(pace[k]) > q.target;
-                double load = ownThreads[k] / worth(k, usualPace) + 1e-6 * chance.nextDouble()
+                double load = ownThreads[k] / worth(k) + 1e-6 * chance.nextDouble()
                         + (k == q.avoid ? 2 * COMES_LAST : late ? COMES_LAST : 0);
                 if (load < least) {
                     least = load;
                     best = k;
                 }
-                if (load < leastWarm && fleet.get(k).readLately.contains(q.dataSet)) {
-                    leastWarm = load;
-                    warm = k;
-                }
             }
-            return leastWarm < least + WARM_SLACK ? warm : best;
+            return best;
         }
 
         /** The rules on drains, placement and repeats. */
@@ -765,12 +754,13 @@
                     : ran.cell.equals(engine.cell);
         }
 
+        /**
+         * Own needs stay under this front's part of the engine's memory and of the fleet's. By engine alone
+         * hundreds of fronts with one query on each would overfill them all.
+         */
         private boolean memoryFits(Query q, int k) {
-            if (memoryMb[k] <= 0 || ownMemory[k] <= 0) {
-                return true;
-            }
-            double part = Math.min(1, Math.max(1, factor) / house.fronts());
-            return ownMemory[k] + q.needMb <= memoryMb[k] * part * 0.9;
+            return memoryMb[k] <= 0 || (q.needMb <= memoryRoom || threadsOut() == 0)
+                    && (ownMemory[k] <= 0 || ownMemory[k] + q.needMb <= memoryMb[k] * memoryPart * 0.9);
         }
 
         /** The way back: a barred engine gets one query that could still be run elsewhere in time. */
@@ -792,16 +782,17 @@
 
         private void send(Query q, int at) {
             unqueue(q);
-            if (q.submissions > 0 && house.ration() != null) {
+            if (q.submissions++ > 0 && house.ration() != null) {
                 furtherAt.add(now);
             }
-            q.submissions++;
             q.outAt = at;
             groupThreads[q.group] += q.threads;
             q.sentTo = at;
             q.sentAt = now;
             q.cancelled = false;
             q.notedAt = now;
+            q.share = 0;
+            q.overdueAt = now + (long) (2 * expected(q));
             post(fleet.get(at), new Carry(q));
             post(purses[q.tenant], new Charge(q.work, q.submissions == 1 ? 1 : 0));
         }
@@ -838,32 +829,51 @@
         }
 
         private void learn(Query q, Event.Closed closed) {
-            double ran = Math.max(1, closed.took() * q.threads);
+            double ran = closed.took() * q.threads;
             double work = closed.work() > 0 ? closed.work() : q.told ? q.work : ran;
             if (!q.told) {
                 usual(q.group, work);
             } else if (closed.work() > 0) {
                 estimateError[q.group] += 0.02 * Math.max(-2, Math.min(2, Math.log(work / q.work)));
             }
-            double seen = Math.max(-1, Math.min(2.5, Math.log(ran / work)));
-            stretch += 0.05 * (seen - stretch);
             answers++;
-            if (answers < 40 || now - boundMetAt > SECOND && threadsOut() < CALM * bound() / factor) {
-                // A front that is busy from its start has nothing but its first answers to go by.
-                usualStretch += (stretch - usualStretch) * (answers < 40 ? 0.1 : 0.01);
-            } else if (factor <= LEAST_BOUND) {
+            felt(ran, work, Math.max(0.05, 1.0 / answers));
+            boolean first = answers < 40 && (answers < 10 || now - bornAt < FIRST_ANSWERS);
+            if (first || now - boundMetAt > SECOND && threadsOut() < CALM * bound() / factor) {
+                // A front that is busy from its start has nothing but its first answers to go by; with few
+                // answers a second the later ones would take an overload for the usual.
+                usualStretch += (stretch - usualStretch) * (first ? Math.max(0.1, 1.0 / answers) : 0.01);
+            } else if (factor <= leastFactor()) {
                 // What stays slow with this front's load at its least is not of this front's making.
                 usualStretch += (stretch - usualStretch) * 0.002;
             }
-            double high = stretch - Math.max(-0.3, Math.min(0.7, usualStretch));
-            if (high < Math.log(USUAL_STRETCH) && now - boundMetAt < SECOND / 5) {
-                factor = Math.min(house.fronts() * MOST_BOUND, factor + 0.3 * q.threads * factor / bound());
-            } else if (high > Math.log(HIGH_STRETCH) && now - boundMovedAt > SECOND / 2) {
-                factor = Math.max(LEAST_BOUND, factor * 0.9);
-                boundMovedAt = now;
+            if (factor >= 1 && now - boundMetAt < SECOND / 5) {
+                // Where each of many fronts has a share of one or two long queries, shares rounded down
+                // leave engines idle.
+                grown = Math.min(overOpen(Control.this::worth), grown + 1);
             }
         }
 
+        /**
+         * What was seen of how a run takes against its work. One step moves the stretch by little, whatever
+         * it shows: bad plans and lost answers say nothing of the load.
+         */
+        private void felt(double ran, double work, double weight) {
+            double seen = Math.log(Math.max(1, ran) / Math.max(1, work));
+            double step = Math.max(-ONE_STEP, Math.min(ONE_STEP, seen - stretch));
+            stretch = Math.max(-1, Math.min(2.5, stretch + weight * step));
+            // The bound follows at once: fronts that each hear little would shrink too late by steps.
+            double high = stretch - Math.max(-0.3, Math.min(1.2, usualStretch));
+            factor = Math.max(leastFactor(), Math.exp(-2 * Math.max(0, high - Math.log(USUAL_STRETCH))));
+            if (factor < 1) {
+                grown = Math.min(grown, Math.max(mostThreads, grown * 0.9));
+            }
+        }
+
+        private double leastFactor() {
+            return LEAST_BOUND / house.fronts() / share();
+        }
+
         /** Whether a further submission keeps the rules on effects and on the ration. */
         private boolean mayRepeat(Query q, boolean asTrial) {
             Deployment.ResourceGroup group = house.groups().get(q.group);
@@ -890,7 +900,11 @@
 
         /** Bad plans: what a fresh start would end far sooner than the rest of this run starts afresh. */
         private void progress(Query q, double share) {
+            // Answers tell of an overload only once it has passed; notes of runs tell while it lasts.
+            felt((now - q.notedAt) * q.threads, (share - q.share) * q.work, 0.05);
+            q.share = share;
             q.notedAt = now;
+            q.overdueAt = Long.MAX_VALUE;
             if (q.answered || !mayRestart(q)) {
                 return;
             }
@@ -925,12 +939,8 @@
             Deployment.ResourceGroup group = house.groups().get(q.group);
             boolean safe = group.effect() == Effect.READ_ONLY || q.ranAt < 0
                     || group.effect() == Effect.TOKENED && group.recognised() == Recognised.ALL;
-            if (safe) {
-                long comeBack = house.allowed().comeBack() ? house.allowed().longestComeBack() : 0;
-                out.accept(new Action.Defer(q.id, comeBack));
-            } else {
-                out.accept(new Action.Kill(q.id));
-            }
+            long comeBack = house.allowed().comeBack() ? house.allowed().longestComeBack() : 0;
+            out.accept(safe ? new Action.Defer(q.id, comeBack) : new Action.Kill(q.id));
             over(q);
         }
 
@@ -939,6 +949,8 @@
             unqueue(q);
             if (q.outAt < 0) {
                 leave(q);
+            } else {
+                cancel(q);
             }
         }
 
@@ -974,6 +986,7 @@
             }
             lanes.values().removeIf(lane -> lane.turn.isEmpty() && now >= lane.restsUntil);
             lanes.values().forEach(this::call);
+            usualPace = median(pace);
             for (Engine engine : fleet) {
                 post(engine, new Look());
             }
@@ -987,6 +1000,11 @@
             double backlog = 0;
             for (Query q : new ArrayList<>(queries.values())) {
                 if (q.outAt >= 0) {
+                    if (now >= q.overdueAt && !q.answered) {
+                        // The same for runs too short for notes: what has not ended yet is seen as well.
+                        q.overdueAt = now + (now - q.sentAt);
+                        felt((now - q.sentAt) * q.threads, q.work, 0.05);
+                    }
                     if (!q.answered && stuck(q) && mayRestart(q)) {
                         cancel(q);
                     }
@@ -1000,8 +1018,7 @@
                 backlog += q.work;
             }
             double rate = bound() / Math.exp(Math.max(0, stretch));
-            held.sort(Comparator.<Query>comparingDouble(q -> value(q) / q.work)
-                    .thenComparingLong(q -> q.order));
+            held.sort(Comparator.comparingDouble(q -> value(q) / q.work));
             for (Query q : held) {
                 if (backlog / rate <= soonest * 0.4) {
                     break;
--- a/src/main/java/reedspring/adapter/Boot.java
+++ b/src/main/java/reedspring/adapter/Boot.java
@@ -57,7 +57,8 @@
                                 Times.nearest(number("rules.resendSpanMs", 0)))
                         : null,
                 Times.atLeast(number("rules.keyQuietMs", 0)), number("overShareWorth", 1),
-                Times.nearest(number("familyInfo.tellsEveryMs", 0)));
+                Times.nearest(number("familyInfo.tellsEveryMs", 0)),
+                "page".equals(pairs.get("familyInfo.overbooked")));
     }
 
     private List<Deployment.ResourceGroup> groups() throws WireException {
--- a/src/main/java/reedspring/api/Deployment.java
+++ b/src/main/java/reedspring/api/Deployment.java
@@ -11,7 +11,7 @@
 public record Deployment(int fronts, List<ResourceGroup> groups, List<Tenant> tenants,
                          Map<Id.Kind, Machine> machines,
                          Allowed allowed, Discovery discovery, ColdStart coldStart, Ration ration,
-                         long keyRest, double overShareValue, long noteEvery) {
+                         long keyRest, double overShareValue, long noteEvery, boolean pages) {
 
     /** What a second run of a query of the group would mean. */
     public enum Effect { READ_ONLY, TOKENED, MUTATING }
