Start the bound one long query over its share; memory's part of the fleet only where engines page

Where shortage of memory slows only the query itself, the guard on the fleet's memory is not worth that.

--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -521,6 +521,7 @@
         private long arrivedAt;
         private final double ratesTold;
         private double memoryPart;
+        // Over the share by one query at the start: shares of one or two long queries leave engines idle.
         private double grown;
         private double memoryRoom;
 
@@ -530,6 +531,7 @@
                 worksSeen[k] = 2;
             }
             mostThreads = house.groups().stream().mapToInt(g -> g.threads()).max().orElse(1);
+            grown = mostThreads;
             ratesTold = house.tenants().stream().mapToDouble(Deployment.Tenant::queriesPerSecond).sum();
             soonest = house.groups().stream().mapToLong(g -> g.targetBase()).min().orElse(SECOND);
         }
@@ -759,7 +761,7 @@
          * hundreds of fronts with one query on each would overfill them all.
          */
         private boolean memoryFits(Query q, int k) {
-            return memoryMb[k] <= 0 || (q.needMb <= memoryRoom || threadsOut() == 0)
+            return memoryMb[k] <= 0 || (!house.pages() || q.needMb <= memoryRoom || threadsOut() == 0)
                     && (ownMemory[k] <= 0 || ownMemory[k] + q.needMb <= memoryMb[k] * memoryPart * 0.9);
         }
 
@@ -848,8 +850,6 @@
                 usualStretch += (stretch - usualStretch) * 0.002;
             }
             if (factor >= 1 && now - boundMetAt < SECOND / 5) {
-                // Where each of many fronts has a share of one or two long queries, shares rounded down
-                // leave engines idle.
                 grown = Math.min(overOpen(Control.this::worth), grown + 1);
             }
         }
