Use later what stood unused of bound and memory; cold engines come back at any number of fronts

Changed: a front's part of a cold engine's stand fills over the rule's window from a start that chance sets, so fronts take turns; one bucket replaces the window of sends. What stood unused of the bound and of the part of memory, up to three long queries, lets a query leave over them later: the sum of all fronts is the same on average. The bound grows by the answered query's threads while it was met within a second.

--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -24,8 +24,7 @@
  * All decisions of one front. Make one at the front's start, then hand each event to {@link #on} with the
  * clock of its arrival; what has to be done comes out of the consumer, in order, before the call returns. The
  * interface is the package {@code reedspring.api}: {@link Event} in, {@link Action} out, {@link Deployment}
- * once. Not for use by several threads. Times are whole tenths of a millisecond. The reasons are in
- * docs/design.md.
+ * once. Not for use by several threads. Times are whole tenths of a millisecond. Reasons: docs/design.md.
  *
  * <p>The parts are the desk (queue, gate and final answers), an actor for each engine and a purse for each
  * tenant. They talk by notes in inboxes only; an engine's row in the arrays is written by its actor alone.
@@ -50,6 +49,9 @@
     private static final long FIRST_ANSWERS = 3 * SECOND;
     private static final long ARRIVALS_WINDOW = 5 * SECOND;
     private static final double BUSY_SHARE = 0.6;
+    // A share of one or two long queries, never passed, leaves engines idle while queries wait: what stood
+    // unused of it, up to some long queries, may be used later. The sum of all fronts is the same on average.
+    private static final double UNUSED_KEPT = 3;
     private static final double MEMORY_PART = 0.8;
 
     // Health. At most half of the fleet may be barred: past that the trouble is not the engines'.
@@ -65,8 +67,8 @@
 
     private static final double COMES_LAST = 1e6;
 
-    // Of what would push a cold engine over; the rest is for what estimates miss.
-    private static final double COLD_PART = 0.7;
+    // Of what would push a cold engine over: one part may stand filled while another flows in.
+    private static final double COLD_PART = 0.4;
 
     private static final long PULSE = 25 * MS;
     private static final long LAST_CALL = 60 * MS;
@@ -158,8 +160,6 @@
 
     private record Release() implements Note { }
 
-    private record Look() implements Note { }
-
     private abstract static class Part {
         private final ArrayDeque<Note> inbox = new ArrayDeque<>();
 
@@ -232,7 +232,8 @@
         private Id.Zone zone;
         private Id.Cell cell;
         private long bar = FIRST_BAR;
-        private final ArrayDeque<long[]> sentCold = new ArrayDeque<>();
+        private double credit;
+        private long creditAt;
         private final List<Ghost> ghosts = new ArrayList<>();
 
         Engine(Event.Listing listing, int at) {
@@ -255,7 +256,7 @@
                 post(desk, note);
             } else if (note instanceof Ended ended) {
                 ended(ended.query(), ended.closed());
-            } else if (note instanceof Look) {
+            } else if (note instanceof Release) {
                 look();
             }
         }
@@ -278,6 +279,8 @@
                 faults[at] = 0;
                 barred[at] = false;
                 bar = FIRST_BAR;
+                credit = chance.nextDouble() * desk.lightest();
+                creditAt = now;
             }
         }
 
@@ -288,9 +291,7 @@
             ownThreads[at] += q.threads;
             ownMemory[at] += q.needMb;
             ownQueries[at]++;
-            if (cold(at)) {
-                sentCold.add(new long[] {now, (long) desk.usualWork[q.group]});
-            }
+            credit -= desk.usualWork[q.group];
             if (house.allowed().priorities()
                     && q.work / q.threads < house.groups().get(q.group).targetBase() / 2.0) {
                 out.accept(new Action.SetPriority(q.id, 2));
@@ -302,9 +303,9 @@
             heardAt[at] = now;
             Outcome outcome = closed.outcome();
             ownQueries[at]--;
-            double usual = q.work / q.threads * Math.exp(Math.max(0, Double.isNaN(pace[at]) ? 0 : pace[at]));
-            long rest = (long) Math.min(LONGEST_GHOST, Math.max(usual - closed.took(), closed.took()));
-            if (outcome == Outcome.TIMED_OUT && !house.allowed().cancel() && rest > 0) {
+            if (outcome == Outcome.TIMED_OUT && !house.allowed().cancel()) {
+                double whole = q.work / q.threads * Math.exp(Double.isNaN(pace[at]) ? 0 : pace[at]);
+                long rest = (long) Math.min(LONGEST_GHOST, Math.max(whole - closed.took(), closed.took()));
                 ghosts.add(new Ghost(now + rest, q.threads, q.needMb));
             } else {
                 ownThreads[at] -= q.threads;
@@ -368,23 +369,21 @@
         }
 
         /**
-         * Whether a usual query of the group fits into this front's part of what a cold engine stands. A
-         * front that has just started can't know what it sent before, and sends it nothing for a window.
+         * Whether a usual query of the group fits into this front's part of what a cold engine stands. The
+         * part fills over the window, from a start that chance sets: hundreds of fronts whose part is under
+         * one query take turns. A front that has just started can't know what it sent before, and sends
+         * nothing for a window.
          */
         private boolean coldRoom(Query q) {
             if (!cold(at) || now - bornAt < house.coldStart().window()) {
                 return !cold(at);
             }
             Deployment.ColdStart rule = house.coldStart();
-            while (!sentCold.isEmpty() && now - sentCold.peek()[0] > rule.window()) {
-                sentCold.poll();
-            }
-            double sent = desk.usualWork[q.group];
-            for (long[] entry : sentCold) {
-                sent += entry[1];
-            }
-            double stands = rule.multiple() * rule.from() * cores[at] * rule.window();
-            return sent <= COLD_PART * stands / house.fronts();
+            double rate = COLD_PART * rule.multiple() * rule.from() * cores[at] / house.fronts();
+            credit = Math.min(credit + rate * (now - creditAt),
+                    Math.max(rate * rule.window(), desk.lightest()));
+            creditAt = now;
+            return desk.usualWork[q.group] <= credit;
         }
     }
 
@@ -424,11 +423,9 @@
 
     /** Cores at the pace shown against the peers': a slow, crowded, failing or cold engine counts less. */
     private double worth(int at) {
-        double part = 1;
-        if (cold(at)) {
-            double from = house.coldStart().from();
-            part = from + (1 - from) * Math.max(0, now - startedAt[at]) / house.coldStart().ramp();
-        }
+        double from = house.coldStart().from();
+        double part = !cold(at) ? 1
+                : from + (1 - from) * Math.max(0, now - startedAt[at]) / house.coldStart().ramp();
         if (!Double.isNaN(pace[at])) {
             part *= Math.max(0.15, Math.min(1, SLOWER / Math.exp(pace[at] - usualPace)));
         }
@@ -468,12 +465,7 @@
 
         private double usage() {
             long current = now / (USAGE_WINDOW / USAGE_SLOTS);
-            if (current - slot >= USAGE_SLOTS) {
-                Arrays.fill(slots, 0);
-                sum = 0;
-                slot = current;
-            }
-            while (slot < current) {
+            for (slot = Math.max(slot, current - USAGE_SLOTS); slot < current; ) {
                 slot++;
                 sum -= slots[(int) (slot % USAGE_SLOTS)];
                 slots[(int) (slot % USAGE_SLOTS)] = 0;
@@ -524,6 +516,10 @@
         // Over the share by one query at the start: shares of one or two long queries leave engines idle.
         private double grown;
         private double memoryRoom;
+        private boolean idle;
+        // What stood unused lately of the bound and of the part of memory, over time.
+        private double unusedThreads;
+        private double unusedMemory;
 
         Desk() {
             for (int k = 0; k < usualWork.length; k++) {
@@ -608,6 +604,10 @@
             release();
         }
 
+        private double lightest() {
+            return Arrays.stream(usualWork).min().orElse(0);
+        }
+
         private void usual(int group, double work) {
             usualWork[group] += Math.max(0.02, 1.0 / ++worksSeen[group]) * (work - usualWork[group]);
         }
@@ -640,10 +640,7 @@
             return Math.max(mostThreads, (sum * THREADS_PER_CORE * share() + grown) * factor);
         }
 
-        /**
-         * An equal part, or for a front with clearly more than its part of the traffic what its arrivals are
-         * of all tenants' rates: fronts can be of very unequal traffic and can't ask one another.
-         */
+        /** An equal part or, as fronts can be very unequal, what its arrivals clearly are of all tenants'. */
         private double share() {
             double equal = 1.0 / house.fronts();
             return ratesTold <= 0 ? equal : Math.max(equal, Math.min(1, BUSY_SHARE * arrived
@@ -660,6 +657,7 @@
         private void release() {
             double bound = bound();
             double room = bound - threadsOut();
+            idle = room >= bound;
             memoryPart = share() * (house.pages() ? 1 : 1 + grown / (bound / factor - grown));
             memoryRoom = overOpen(k -> memoryMb[k] * memoryPart * MEMORY_PART - ownMemory[k]);
             boolean mixed = Arrays.stream(waitingIn).filter(count -> count > 0).count() > 1;
@@ -676,12 +674,16 @@
                             || q.submissions > 0 && !mayRepeat(q, false)) {
                         continue;
                     }
-                    if (q.threads > room && threadsOut() > 0) {
+                    double cost = q.threads * expected(q);
+                    boolean over = q.threads > room && !idle;
+                    if (over && cost > unusedThreads) {
                         boundMetAt = now;
                         break;
                     }
                     int at = choose(q);
                     if (at >= 0) {
+                        unusedThreads -= over ? cost : 0;
+                        unusedMemory -= q.needMb > memoryRoom ? q.needMb * expected(q) : 0;
                         send(q, at);
                         post(this, new Release());
                         return;
@@ -761,7 +763,8 @@
          * hundreds of fronts with one query on each would overfill them all.
          */
         private boolean memoryFits(Query q, int k) {
-            return memoryMb[k] <= 0 || (!house.pages() || q.needMb <= memoryRoom || threadsOut() == 0)
+            return memoryMb[k] <= 0 || (!house.pages() || q.needMb <= memoryRoom || idle
+                    || q.needMb * expected(q) <= unusedMemory)
                     && (ownMemory[k] <= 0 || ownMemory[k] + q.needMb <= memoryMb[k] * memoryPart * 0.9);
         }
 
@@ -842,15 +845,11 @@
             felt(ran, work, Math.max(0.05, 1.0 / answers));
             boolean first = answers < 40 && (answers < 10 || now - bornAt < FIRST_ANSWERS);
             if (first || now - boundMetAt > SECOND && threadsOut() < CALM * bound() / factor) {
-                // A front that is busy from its start has nothing but its first answers to go by; with few
-                // answers a second the later ones would take an overload for the usual.
+                // A busy front has only its first answers to go by; later ones can show an overload.
                 usualStretch += (stretch - usualStretch) * (first ? Math.max(0.1, 1.0 / answers) : 0.01);
-            } else if (factor <= leastFactor()) {
-                // What stays slow with this front's load at its least is not of this front's making.
-                usualStretch += (stretch - usualStretch) * 0.002;
             }
-            if (factor >= 1 && now - boundMetAt < SECOND / 5) {
-                grown = Math.min(overOpen(Control.this::worth), grown + 1);
+            if (factor >= 1 && now - boundMetAt < SECOND) {
+                grown = Math.min(overOpen(Control.this::worth), grown + q.threads);
             }
         }
 
@@ -859,28 +858,23 @@
          * it shows: bad plans and lost answers say nothing of the load.
          */
         private void felt(double ran, double work, double weight) {
-            double seen = Math.log(Math.max(1, ran) / Math.max(1, work));
-            double step = Math.max(-ONE_STEP, Math.min(ONE_STEP, seen - stretch));
+            double step = Math.log(Math.max(1, ran) / Math.max(1, work)) - stretch;
+            step = Math.max(-ONE_STEP, Math.min(ONE_STEP, step));
             stretch = Math.max(-1, Math.min(2.5, stretch + weight * step));
             // The bound follows at once: fronts that each hear little would shrink too late by steps.
             double high = stretch - Math.max(-0.3, Math.min(1.2, usualStretch));
-            factor = Math.max(leastFactor(), Math.exp(-2 * Math.max(0, high - Math.log(USUAL_STRETCH))));
+            factor = Math.max(LEAST_BOUND / house.fronts() / share(),
+                    Math.exp(-2 * Math.max(0, high - Math.log(USUAL_STRETCH))));
             if (factor < 1) {
                 grown = Math.min(grown, Math.max(mostThreads, grown * 0.9));
             }
         }
 
-        private double leastFactor() {
-            return LEAST_BOUND / house.fronts() / share();
-        }
-
         /** Whether a further submission keeps the rules on effects and on the ration. */
         private boolean mayRepeat(Query q, boolean asTrial) {
             Deployment.ResourceGroup group = house.groups().get(q.group);
-            if (group.effect() == Effect.MUTATING && (asTrial || q.ranAt >= 0)) {
-                return false;
-            }
-            if (group.effect() == Effect.TOKENED && q.ranAt >= 0
+            if (group.effect() == Effect.MUTATING && (asTrial || q.ranAt >= 0)
+                    || group.effect() == Effect.TOKENED && q.ranAt >= 0
                     && now - q.ranSince >= group.recognisedFor()) {
                 return false;
             }
@@ -988,9 +982,14 @@
             lanes.values().forEach(this::call);
             usualPace = median(pace);
             for (Engine engine : fleet) {
-                post(engine, new Look());
+                post(engine, new Release());
             }
             sweep();
+            double most = UNUSED_KEPT * Arrays.stream(usualWork).max().orElse(0)
+                    * Math.exp(Math.max(0, stretch));
+            double perCore = overOpen(k -> memoryMb[k]) / Math.max(1, overOpen(k -> cores[k]));
+            unusedThreads = Math.min(most, unusedThreads + PULSE * Math.max(0, bound() - threadsOut()));
+            unusedMemory = Math.min(most * perCore, unusedMemory + PULSE * Math.max(0, memoryRoom));
             post(this, new Release());
         }
 
