--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -322,15 +322,13 @@
                 pace(closed.took() * q.threads, q.work);
             }
             boolean fails = faults[at] >= FAULTY && faults[at] > 2 * median(faults);
-            if (!barred[at]) {
-                if (fails) {
-                    bar("fails");
-                }
-            } else if (outcome == Outcome.FINISHED && !fails) {
+            if (!barred[at] && fails) {
+                bar("fails");
+            } else if (barred[at] && outcome == Outcome.FINISHED && !fails) {
                 barred[at] = false;
                 bar = FIRST_BAR;
                 out.accept(new Action.Remark("engine " + id.address() + " is back"));
-            } else {
+            } else if (barred[at]) {
                 bar = bad ? Math.min(LONGEST_BAR, bar * 2) : bar;
                 barredUntil[at] = now + bar;
             }
@@ -847,6 +845,9 @@
             if (first || now - boundMetAt > SECOND && threadsOut() < CALM * bound() / factor) {
                 // A busy front has only its first answers to go by; later ones can show an overload.
                 usualStretch += (stretch - usualStretch) * (first ? Math.max(0.1, 1.0 / answers) : 0.01);
+            } else if (factor * share() * house.fronts() <= LEAST_BOUND * 1.001) {
+                // What stays slow with this front's load at its least is not of this front's making.
+                usualStretch += (stretch - usualStretch) * 0.002;
             }
             if (factor >= 1 && now - boundMetAt < SECOND) {
                 grown = Math.min(overOpen(Control.this::worth), grown + q.threads);
@@ -929,7 +930,6 @@
 
         /** The final answer for a query that has nothing out. */
         private void giveUp(Query q) {
-            unqueue(q);
             Deployment.ResourceGroup group = house.groups().get(q.group);
             boolean safe = group.effect() == Effect.READ_ONLY || q.ranAt < 0
                     || group.effect() == Effect.TOKENED && group.recognised() == Recognised.ALL;
@@ -981,9 +981,7 @@
             lanes.values().removeIf(lane -> lane.turn.isEmpty() && now >= lane.restsUntil);
             lanes.values().forEach(this::call);
             usualPace = median(pace);
-            for (Engine engine : fleet) {
-                post(engine, new Release());
-            }
+            fleet.forEach(engine -> post(engine, new Release()));
             sweep();
             double most = UNUSED_KEPT * Arrays.stream(usualWork).max().orElse(0)
                     * Math.exp(Math.max(0, stretch));
