Count the turn at a cold engine in queries; test the gate at hundreds of fronts

Found by a test with 300 fronts at one cold engine: 121 short queries in two seconds where 48 stand. The turn was drawn in work while a short query was still thought heavier than it proved, so a third of the fronts stood at their turn at once. It is now counted in queries of the lightest group; the same test sees 48 at most and the engine used all along.

--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -232,6 +232,7 @@
         private Id.Zone zone;
         private Id.Cell cell;
         private long bar = FIRST_BAR;
+        // In queries of the lightest group.
         private double credit;
         private long creditAt;
         private final List<Ghost> ghosts = new ArrayList<>();
@@ -279,7 +280,7 @@
                 faults[at] = 0;
                 barred[at] = false;
                 bar = FIRST_BAR;
-                credit = chance.nextDouble() * desk.lightest();
+                credit = chance.nextDouble();
                 creditAt = now;
             }
         }
@@ -291,7 +292,7 @@
             ownThreads[at] += q.threads;
             ownMemory[at] += q.needMb;
             ownQueries[at]++;
-            credit -= desk.usualWork[q.group];
+            credit -= desk.usualWork[q.group] / desk.lightest();
             if (house.allowed().priorities()
                     && q.work / q.threads < house.groups().get(q.group).targetBase() / 2.0) {
                 out.accept(new Action.SetPriority(q.id, 2));
@@ -377,11 +378,11 @@
                 return !cold(at);
             }
             Deployment.ColdStart rule = house.coldStart();
-            double rate = COLD_PART * rule.multiple() * rule.from() * cores[at] / house.fronts();
-            credit = Math.min(credit + rate * (now - creditAt),
-                    Math.max(rate * rule.window(), desk.lightest()));
+            double rate = COLD_PART * rule.multiple() * rule.from() * cores[at] / house.fronts()
+                    / desk.lightest();
+            credit = Math.min(credit + rate * (now - creditAt), Math.max(rate * rule.window(), 1));
             creditAt = now;
-            return desk.usualWork[q.group] <= credit;
+            return desk.usualWork[q.group] <= credit * desk.lightest();
         }
     }
 
@@ -603,7 +604,7 @@
         }
 
         private double lightest() {
-            return Arrays.stream(usualWork).min().orElse(0);
+            return Math.max(1, Arrays.stream(usualWork).min().orElse(1));
         }
 
         private void usual(int group, double work) {
--- a/src/test/java/reedspring/ControlTest.java
+++ b/src/test/java/reedspring/ControlTest.java
@@ -348,4 +348,95 @@
         assertEquals(1, late.submissions);
         assertTrue(late.answered);
     }
+
+    /** binh-duong-later, i59e677: cold engines stood unused for all of their ramp at 218 fronts. */
+    @Example
+    void hundredsOfFrontsBringAColdEngineBackAndNeverPushItOver() {
+        Deployment rules = House.deployment(300, true, false, null, House.SHORT, House.LONG);
+        List<House> fronts = new ArrayList<>();
+        for (int k = 0; k < 300; k++) {
+            House house = new House(rules, k);
+            house.pass(3 * SECOND);
+            house.list(Reading.COMPLETE, House.engine(0, Health.UP, house.now));
+            fronts.add(house);
+        }
+        long[] inWindow = new long[40];
+        for (House house : fronts) {
+            long start = house.now;
+            for (int step = 0; step < 40; step++) {
+                int before = house.submits.size();
+                house.take(0, 0, 3000, 150_000, null);
+                house.pass(2000);
+                inWindow[step] += house.submits.size() - before;
+                house.held.values().stream().filter(q -> q.out != null).toList()
+                        .forEach(q -> house.end(q, Outcome.FINISHED));
+            }
+            assertEquals(start + 8 * SECOND, house.now);
+        }
+        // Windows of 2 s are ten steps of 0.2 s; 3 x 0.3 x 8 cores for 2 s are 14.4 s of work, 48 queries.
+        long all = 0;
+        for (int step = 9; step < 40; step++) {
+            long sum = java.util.Arrays.stream(inWindow, step - 9, step + 1).sum();
+            all += sum;
+            assertTrue(sum <= 48, "sent in two seconds: " + sum);
+        }
+        assertTrue(all > 31 * 5, "used while cold: " + all / 31);
+    }
+
+    /** enfidha-main-later, i702ee9: a share under one long query was never passed, on calm engines. */
+    @Example
+    void whatStoodUnusedOfASmallShareIsUsedLaterAndNoMore() {
+        House house = calm(4, House.deployment(300, true, false, null, House.SHORT, House.LONG));
+        house.pass(10 * SECOND);
+        List<Held> early = new ArrayList<>();
+        for (int k = 0; k < 3; k++) {
+            early.add(house.take(1, 0, 20_000, 150_000, null));
+        }
+        assertTrue(early.stream().filter(q -> q.out != null).count() > 1, "one at a time on idle engines");
+        for (int k = 0; k < 100; k++) {
+            house.take(1, 0, 20_000, 150_000, null);
+        }
+        long out = house.held.values().stream().filter(q -> q.out != null).count();
+        assertTrue(out <= 6, "far over the share: " + out);
+    }
+
+    /** enfidha-main-later, big-2: with few answers a second a front heard of an overload too late. */
+    @Example
+    void notesOfSlowRunsShrinkTheBoundBeforeTheirAnswersCome() {
+        assertTrue(sentBesideSlowRuns(0.02) < sentBesideSlowRuns(1));
+    }
+
+    private static int sentBesideSlowRuns(double pace) {
+        House house = calm(2, House.deployment(false, false, null, House.SHORT, House.LONG));
+        for (int k = 0; k < 3; k++) {
+            house.take(1, 0, 60_000, 150_000, null);
+        }
+        for (int note = 1; note <= 10; note++) {
+            house.pass(1000);
+            for (Held q : List.copyOf(house.held.values())) {
+                house.on(new Event.ShareDone(q.taken.query(), new Id.Submission(0), note * pace / 15));
+            }
+        }
+        int before = house.submits.size();
+        for (int k = 0; k < 60; k++) {
+            house.take(0, 1, 9000, 150_000, null);
+        }
+        return house.submits.size() - before;
+    }
+
+    /** A list that shrinks to one engine at once, and one that is empty, at any number of fronts. */
+    @Example
+    void aListThatShrinksAtOnceIsFollowed() {
+        for (int fronts : new int[] {1, 300}) {
+            House house = calm(40, House.deployment(fronts, true, false, null, House.SHORT, House.LONG));
+            house.list(Reading.COMPLETE, new Listing(new Id.Engine("e3"), new Id.Kind("m"),
+                    new Id.Zone("z1"), new Id.Cell(0), Health.UP, 0));
+            Held q = house.take(1, 0, 20_000, 150_000, null);
+            assertEquals("e3", q.out.address());
+            house.list(Reading.COMPLETE);
+            Held late = house.take(0, 0, 2000, 50_000, null);
+            house.pass(4 * SECOND);
+            assertTrue(late.answered && late.submissions == 0);
+        }
+    }
 }
