Runs whose notes stopped no longer hold the gate; one query in eight at most is a trial

A run far past its time whose notes have stopped is over or on an engine that stands still; it now frees its threads.

Guards also against any outcome that never comes, and against trials of many engines at once. Could harm where notes get lost but work goes on: the engine then has more than the front counts, until the stretch shows it.

--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -62,6 +62,8 @@
     private static final long FIRST_BAR = SECOND / 2;
     private static final long LONGEST_BAR = 4 * SECOND;
     private static final long SILENCE = SECOND;
+    // Where a front takes few queries and many engines are barred, trials would take them all.
+    private static final int QUERIES_A_TRIAL = 8;
     private static final double SLOWER = 1.4;
     private static final long LONGEST_GHOST = 10 * SECOND;
 
@@ -97,16 +99,13 @@
     private double[] faults = new double[8];
     private boolean[] barred = new boolean[8];
     private long[] barredUntil = new long[8];
-    private long[] heardAt = new long[8];
 
     public Control(long seed, Deployment house, long now, Consumer<Action> out) {
         this.house = house;
         this.chance = new SplittableRandom(seed);
         this.desk = new Desk();
         this.purses = new Purse[house.tenants().size() + 1];
-        for (int k = 0; k < purses.length; k++) {
-            purses[k] = new Purse(k);
-        }
+        Arrays.setAll(purses, Purse::new);
         this.now = now;
         this.bornAt = now;
         this.out = out;
@@ -152,12 +151,12 @@
 
     private record Ended(Query query, Event.Closed closed) implements Note { }
 
-    private record Back(Query query, Event.Closed closed) implements Note { }
-
     private record Progress(Query query, double share) implements Note { }
 
     private record Charge(double work, int queries) implements Note { }
 
+    private record Lost(Query query) implements Note { }
+
     private record Release() implements Note { }
 
     private abstract static class Part {
@@ -199,6 +198,7 @@
         private int ranAt = -1;
         private long ranSince;
         private boolean unclear;
+        private boolean lost;
     }
 
     // ---- engines
@@ -232,6 +232,7 @@
         private Id.Zone zone;
         private Id.Cell cell;
         private long bar = FIRST_BAR;
+        private long heardAt;
         // In queries of the lightest group.
         private double credit;
         private long creditAt;
@@ -253,10 +254,12 @@
             } else if (note instanceof Carry carry) {
                 carry(carry.query());
             } else if (note instanceof Progress) {
-                heardAt[at] = now;
+                heardAt = now;
                 post(desk, note);
             } else if (note instanceof Ended ended) {
                 ended(ended.query(), ended.closed());
+            } else if (note instanceof Lost lost) {
+                free(lost.query());
             } else if (note instanceof Release) {
                 look();
             }
@@ -287,7 +290,7 @@
 
         private void carry(Query q) {
             if (ownQueries[at] == 0) {
-                heardAt[at] = now;
+                heardAt = now;
             }
             ownThreads[at] += q.threads;
             ownMemory[at] += q.needMb;
@@ -301,16 +304,15 @@
         }
 
         private void ended(Query q, Event.Closed closed) {
-            heardAt[at] = now;
+            heardAt = now;
             Outcome outcome = closed.outcome();
             ownQueries[at]--;
-            if (outcome == Outcome.TIMED_OUT && !house.allowed().cancel()) {
+            if (outcome == Outcome.TIMED_OUT && !house.allowed().cancel() && !q.lost) {
                 double whole = q.work / q.threads * Math.exp(Double.isNaN(pace[at]) ? 0 : pace[at]);
                 long rest = (long) Math.min(LONGEST_GHOST, Math.max(whole - closed.took(), closed.took()));
                 ghosts.add(new Ghost(now + rest, q.threads, q.needMb));
-            } else {
-                ownThreads[at] -= q.threads;
-                ownMemory[at] -= q.needMb;
+            } else if (!q.lost) {
+                free(q);
             }
             boolean bad = BAD.contains(outcome);
             if (outcome == Outcome.FINISHED) {
@@ -333,7 +335,12 @@
                 bar = bad ? Math.min(LONGEST_BAR, bar * 2) : bar;
                 barredUntil[at] = now + bar;
             }
-            post(desk, new Back(q, closed));
+            post(desk, new Ended(q, closed));
+        }
+
+        private void free(Query q) {
+            ownThreads[at] -= q.threads;
+            ownMemory[at] -= q.needMb;
         }
 
         private void pace(double threadTime, double work) {
@@ -351,7 +358,7 @@
                 ownMemory[at] -= done ? ghost.needMb() : 0;
                 return done;
             });
-            if (!barred[at] && now - heardAt[at] >= Math.max(SILENCE, house.noteEvery() * 5 / 4)
+            if (!barred[at] && now - heardAt >= Math.max(SILENCE, house.noteEvery() * 5 / 4)
                     && desk.queries.values().stream().filter(q -> q.outAt == at && desk.stuck(q))
                             .count() > 1) {
                 bar("is silent");
@@ -398,7 +405,6 @@
         faults = Arrays.copyOf(faults, size);
         barred = Arrays.copyOf(barred, size);
         barredUntil = Arrays.copyOf(barredUntil, size);
-        heardAt = Arrays.copyOf(heardAt, size);
     }
 
     private double overOpen(IntToDoubleFunction figure) {
@@ -502,6 +508,7 @@
         private final long soonest;
         private final int[] waitingIn = new int[house.groups().size()];
         private long arrivals;
+        private long lastTrial = -QUERIES_A_TRIAL;
         private double factor = 1;
         private double stretch;
         private double usualStretch;
@@ -521,10 +528,9 @@
         private double unusedMemory;
 
         Desk() {
-            for (int k = 0; k < usualWork.length; k++) {
-                usualWork[k] = house.groups().get(k).targetBase() / 2.0 * house.groups().get(k).threads();
-                worksSeen[k] = 2;
-            }
+            Arrays.setAll(usualWork, k -> house.groups().get(k).targetBase() / 2.0
+                    * house.groups().get(k).threads());
+            Arrays.fill(worksSeen, 2);
             mostThreads = house.groups().stream().mapToInt(g -> g.threads()).max().orElse(1);
             grown = mostThreads;
             ratesTold = house.tenants().stream().mapToDouble(Deployment.Tenant::queriesPerSecond).sum();
@@ -535,8 +541,8 @@
         void read(Note note) {
             if (note instanceof Word word) {
                 word(word.event());
-            } else if (note instanceof Back back) {
-                back(back.query(), back.closed());
+            } else if (note instanceof Ended ended) {
+                back(ended.query(), ended.closed());
             } else if (note instanceof Progress progress) {
                 progress(progress.query(), progress.share());
             } else if (note instanceof Release) {
@@ -553,10 +559,7 @@
                     over(q);
                 }
             } else if (event instanceof Event.StreamBegan began) {
-                Query q = queries.get(began.query());
-                if (q != null) {
-                    q.streaming = true;
-                }
+                queries.getOrDefault(began.query(), new Query()).streaming = true;
             } else if (event instanceof Event.ListUnavailable) {
                 askAgainAt = now + Math.min(SECOND / 2, house.discovery().askWithin() / 4);
             } else if (event instanceof Event.Woken woken && woken.timer().equals(PULSE_TIMER)) {
@@ -720,20 +723,18 @@
             int best = -1;
             double least = Double.MAX_VALUE;
             for (int k = 0; k < fleet.size(); k++) {
-                if (!allowed(q, k)) {
+                if (!allowed(q, k) || !fleet.get(k).coldRoom(q) || !barred[k] && !memoryFits(q, k)) {
                     continue;
                 }
                 if (barred[k] && trial(q, k)) {
+                    lastTrial = arrivals;
                     return k;
                 }
-                if (barred[k] || !memoryFits(q, k) || !fleet.get(k).coldRoom(q)) {
-                    continue;
-                }
                 // Engines too slow for its target come after all others, and the one that failed it last.
                 boolean late = now + q.work / q.threads * Math.exp(pace[k]) > q.target;
                 double load = ownThreads[k] / worth(k) + 1e-6 * chance.nextDouble()
                         + (k == q.avoid ? 2 * COMES_LAST : late ? COMES_LAST : 0);
-                if (load < least) {
+                if (load < least && !barred[k]) {
                     least = load;
                     best = k;
                 }
@@ -769,8 +770,8 @@
 
         /** The way back: a barred engine gets one query that could still be run elsewhere in time. */
         private boolean trial(Query q, int k) {
-            return now >= barredUntil[k] && ownQueries[k] == 0 && q.submissions == 0 && mayRepeat(q, true)
-                    && fleet.get(k).coldRoom(q)
+            return now >= barredUntil[k] && arrivals - lastTrial >= QUERIES_A_TRIAL
+                    && ownQueries[k] == 0 && q.submissions == 0 && mayRepeat(q, true)
                     && now + 3 * expected(q) < q.target && 2 * q.work <= 3 * usualWork[q.group];
         }
 
@@ -794,6 +795,7 @@
             q.sentTo = at;
             q.sentAt = now;
             q.cancelled = false;
+            q.lost = false;
             q.notedAt = now;
             q.share = 0;
             q.overdueAt = now + (long) (2 * expected(q));
@@ -805,7 +807,7 @@
 
         private void back(Query q, Event.Closed closed) {
             q.outAt = -1;
-            groupThreads[q.group] -= q.threads;
+            groupThreads[q.group] -= q.lost ? 0 : q.threads;
             Outcome outcome = closed.outcome();
             if (!outcome.neverRan() && q.ranAt < 0) {
                 q.ranAt = q.sentTo;
@@ -905,15 +907,13 @@
                 return;
             }
             double ran = now - q.sentAt;
-            double rest = share <= 0 ? Double.MAX_VALUE : ran * (1 - share) / share;
-            if (rest > 3 * expected(q) && ran > 1.5 * expected(q)) {
+            if (ran * (1 - share) > share * 3 * expected(q) && ran > 1.5 * expected(q)) {
                 cancel(q);
             }
         }
 
         private boolean mayRestart(Query q) {
-            return house.allowed().cancel() && !q.cancelled && !q.streaming
-                    && house.groups().get(q.group).effect() == Effect.READ_ONLY
+            return house.groups().get(q.group).effect() == Effect.READ_ONLY
                     && q.submissions < house.allowed().submissions() && mayRepeat(q, false);
         }
 
@@ -1003,17 +1003,21 @@
                         q.overdueAt = now + (now - q.sentAt);
                         felt((now - q.sentAt) * q.threads, q.work, 0.05);
                     }
-                    if (!q.answered && stuck(q) && mayRestart(q)) {
+                    if (stuck(q) && !q.answered && house.allowed().cancel() && mayRestart(q)) {
                         cancel(q);
+                    } else if (stuck(q) && !q.cancelled && !q.lost) {
+                        // Its notes have stopped: the work is over and its answer lost, or its engine stands
+                        // still, which a bar answers. Held until its time-out it would shut the gate.
+                        q.lost = true;
+                        groupThreads[q.group] -= q.threads;
+                        post(fleet.get(q.outAt), new Lost(q));
                     }
-                    continue;
-                }
-                if (now >= q.leavesAt - LAST_CALL || now + expected(q) > q.target) {
+                } else if (now >= q.leavesAt - LAST_CALL || now + expected(q) > q.target) {
                     giveUp(q);
-                    continue;
+                } else {
+                    held.add(q);
+                    backlog += q.work;
                 }
-                held.add(q);
-                backlog += q.work;
             }
             double rate = bound() / Math.exp(Math.max(0, stretch));
             held.sort(Comparator.comparingDouble(q -> value(q) / q.work));
