--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -635,7 +635,6 @@
             }
         }
 
-        // -- the gate
 
         private double bound() {
             double sum = overOpen(Control.this::worth);
@@ -803,7 +802,6 @@
             post(purses[q.tenant], new Charge(q.work, q.submissions == 1 ? 1 : 0));
         }
 
-        // -- outcomes
 
         private void back(Query q, Event.Closed closed) {
             q.outAt = -1;
@@ -906,8 +904,8 @@
             if (q.answered || !mayRestart(q)) {
                 return;
             }
-            double ran = now - q.sentAt;
-            if (ran * (1 - share) > share * 3 * expected(q) && ran > 1.5 * expected(q)) {
+            double ran = (now - q.sentAt) / expected(q);
+            if (ran * (1 - share) > share * 3 && ran > 1.5) {
                 cancel(q);
             }
         }
@@ -971,7 +969,6 @@
             }
         }
 
-        // -- the pulse
 
         private void pulse() {
             out.accept(new Action.WakeMe(PULSE_TIMER, PULSE));
