--- a/src/test/java/reedspring/ControlTest.java
+++ b/src/test/java/reedspring/ControlTest.java
@@ -439,4 +439,36 @@
             assertTrue(late.answered && late.submissions == 0);
         }
     }
+
+    /** zwrotka-waw-later, i478719: lost answers held the bound where no cancel frees them. */
+    @Example
+    void runsWhoseNotesStoppedNoLongerHoldTheGate() {
+        House house = calm(2, House.deployment(false, false, null, House.SHORT, House.LONG));
+        for (int k = 0; k < 300; k++) {
+            Held q = house.take(0, 0, 500, 150_000, null);
+            house.pass(500);
+            assertTrue(q.out != null, "the gate is shut by what was lost, after " + k);
+            if (k % 8 > 0) {
+                house.end(q, Outcome.FINISHED);
+            }
+        }
+    }
+
+    /** binh-duong-later, icfc51e: with many engines dead and few queries nearly each query was a trial. */
+    @Example
+    void fewQueriesAreNotAllGivenToTrials() {
+        House house = calm(8, House.deployment(300, true, false, null, House.SHORT, House.LONG));
+        int failed = 0;
+        for (int k = 0; k < 200; k++) {
+            house.pass(4500);
+            Held q = house.take(0, 0, 500, 50_000, null);
+            house.pass(500);
+            while (q.out != null) {
+                boolean dead = Integer.parseInt(q.out.address().substring(1)) < 4;
+                failed += dead && k >= 40 ? 1 : 0;
+                house.end(q, dead ? Outcome.UNREACHABLE : Outcome.FINISHED);
+            }
+        }
+        assertTrue(failed > 0 && failed <= 160 / 8 + 1, "trials: " + failed);
+    }
 }
