Feel an overdue run once: an answer that is lost says nothing of the load

Each lost run was felt again at each doubling of its age, so a few lost answers a second shrank the bound to its least.

--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -996,8 +996,8 @@
             for (Query q : new ArrayList<>(queries.values())) {
                 if (q.outAt >= 0) {
                     if (now >= q.overdueAt && !q.answered) {
-                        // The same for runs too short for notes: what has not ended yet is seen as well.
-                        q.overdueAt = now + (now - q.sentAt);
+                        // For runs too short for notes. Only once: an answer that is lost is no load.
+                        q.overdueAt = Long.MAX_VALUE;
                         felt((now - q.sentAt) * q.threads, q.work, 0.05);
                     }
                     if (stuck(q) && !q.answered && house.allowed().cancel() && mayRestart(q)) {
