--- a/src/main/java/reedspring/adapter/Adapter.java
+++ b/src/main/java/reedspring/adapter/Adapter.java
@@ -14,6 +14,9 @@
 import reedspring.api.Action;
 import reedspring.api.Event;
 import reedspring.api.Id;
+import reedspring.boot.Boot;
+import reedspring.boot.BootException;
+import reedspring.boot.Times;
 
 /** Speaks the simulator's wire for many fronts that share nothing. */
 public final class Adapter {
@@ -90,7 +93,12 @@
     private void attach(Line line) throws WireException {
         int instance = (int) line.whole("i");
         long seed = line.whole("seed");
-        Boot boot = new Boot(line);
+        Boot boot;
+        try {
+            boot = new Boot(line.all());
+        } catch (BootException e) {
+            throw line.malformed(e.field(), e.why());
+        }
         List<Action> actions = new ArrayList<>();
         try {
             Front front = new Front(boot, new Control(seed, boot.deployment(), now, actions::add));
--- a/src/main/java/reedspring/adapter/Boot.java
+++ b/src/main/java/reedspring/boot/Boot.java
@@ -1,4 +1,4 @@
-package reedspring.adapter;
+package reedspring.boot;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,35 +12,36 @@
 import reedspring.api.Deployment.Recognised;
 import reedspring.api.Id;
 
-/** Reads what the wire says at an instance's start into a {@link Deployment}. */
-final class Boot {
-    private final Line line;
+/**
+ * Reads what a front is told at its start into a {@link Deployment}. It takes path=value pairs, as the
+ * simulator sends them and a configuration file is flattened to, so that both fronts read one form.
+ */
+public final class Boot {
     private final Map<String, String> pairs;
     private final List<String> groupNames = new ArrayList<>();
     private final List<String> tenantNames = new ArrayList<>();
     private final Deployment deployment;
 
-    Boot(Line line) throws WireException {
-        this.line = line;
-        this.pairs = line.all();
+    public Boot(Map<String, String> pairs) throws BootException {
+        this.pairs = pairs;
         this.deployment = read();
     }
 
-    Deployment deployment() {
+    public Deployment deployment() {
         return deployment;
     }
 
-    Id.Group group(String name) {
+    public Id.Group group(String name) {
         int index = groupNames.indexOf(name);
         return index < 0 ? null : new Id.Group(index);
     }
 
-    Id.Tenant tenant(String name) {
+    public Id.Tenant tenant(String name) {
         int index = name == null ? -1 : tenantNames.indexOf(name);
         return index < 0 ? Id.Tenant.NOBODY : new Id.Tenant(index);
     }
 
-    private Deployment read() throws WireException {
+    private Deployment read() throws BootException {
         return new Deployment(Math.max(1, (int) number("fleetSize", 1)), groups(), tenants(), machines(),
                 new Deployment.Allowed(flag("allowed.cancel"), flag("allowed.retryAfter"),
                         flag("familyInfo.lanesCount"),
@@ -61,7 +62,7 @@
                 "page".equals(pairs.get("familyInfo.overbooked")));
     }
 
-    private List<Deployment.ResourceGroup> groups() throws WireException {
+    private List<Deployment.ResourceGroup> groups() throws BootException {
         List<Deployment.ResourceGroup> groups = new ArrayList<>();
         String[] threads = list("familyInfo.parallelism");
         int count = (int) number("classes.count", 0);
@@ -72,7 +73,7 @@
             groups.add(new Deployment.ResourceGroup(Times.nearest(number(at + "aimMs", 0)),
                     number(at + "aimStretch", 0), number(at + "points", 1),
                     k >= threads.length ? 1
-                            : (int) Math.max(1, line.number("familyInfo.parallelism", threads[k])),
+                            : (int) Math.max(1, parse("familyInfo.parallelism", threads[k])),
                     switch (pairs.getOrDefault(at + "effect", "once")) {
                         case "repeatable" -> Effect.READ_ONLY;
                         case "by_key" -> Effect.TOKENED;
@@ -89,7 +90,7 @@
         return groups;
     }
 
-    private List<Deployment.Tenant> tenants() throws WireException {
+    private List<Deployment.Tenant> tenants() throws BootException {
         List<Deployment.Tenant> tenants = new ArrayList<>();
         int count = (int) number("customers.count", 0);
         for (int k = 0; k < count; k++) {
@@ -101,22 +102,35 @@
         return tenants;
     }
 
-    private Map<Id.Kind, Deployment.Machine> machines() throws WireException {
+    private Map<Id.Kind, Deployment.Machine> machines() throws BootException {
         Map<Id.Kind, Deployment.Machine> machines = new HashMap<>();
         String[] kinds = list("kinds");
         String[] cores = list("familyInfo.sizeCores");
         String[] memory = list("familyInfo.memoryByKindMb");
         for (int k = 0; k < kinds.length; k++) {
             machines.put(new Id.Kind(kinds[k]), new Deployment.Machine(
-                    k < cores.length ? line.number("familyInfo.sizeCores", cores[k]) : 0,
-                    k < memory.length ? line.number("familyInfo.memoryByKindMb", memory[k]) : 0));
+                    k < cores.length ? parse("familyInfo.sizeCores", cores[k]) : 0,
+                    k < memory.length ? parse("familyInfo.memoryByKindMb", memory[k]) : 0));
         }
         return machines;
     }
 
-    private double number(String key, double otherwise) throws WireException {
+    /** A figure of the deployment that only a protocol needs. */
+    public double number(String key, double otherwise) throws BootException {
         String value = pairs.get(key);
-        return value == null ? otherwise : line.number(key, value);
+        return value == null ? otherwise : parse(key, value);
+    }
+
+    private static double parse(String key, String value) throws BootException {
+        try {
+            double parsed = Double.parseDouble(value);
+            if (!Double.isInfinite(parsed) && !Double.isNaN(parsed)) {
+                return parsed;
+            }
+        } catch (NumberFormatException e) {
+            // reported below, like the figures that a double can hold and a time can't
+        }
+        throw new BootException(key, "'" + value + "' is no number");
     }
 
     private boolean flag(String key) {
--- a/src/main/java/reedspring/adapter/Times.java
+++ b/src/main/java/reedspring/boot/Times.java
@@ -1,34 +1,34 @@
-package reedspring.adapter;
+package reedspring.boot;
 
 /**
- * The wire counts microseconds, the decisions tenths of a millisecond. The clock rounds down; spans round to
+ * The wires count milliseconds, the decisions tenths of a millisecond. The clock rounds down; spans round to
  * the side on which no rule breaks, with one tenth more for what the clock may have lost.
  */
-final class Times {
+public final class Times {
     private static final double TENTHS = 10;
 
     private Times() {
     }
 
-    static long clock(double ms) {
+    public static long clock(double ms) {
         return (long) Math.floor(ms * TENTHS + 1e-6);
     }
 
     /** For what has to happen within the span. */
-    static long within(double ms) {
+    public static long within(double ms) {
         return ms <= 0 ? 0 : Math.max(0, (long) Math.floor(ms * TENTHS + 1e-6) - 1);
     }
 
     /** For what may happen only once the span has passed. */
-    static long atLeast(double ms) {
+    public static long atLeast(double ms) {
         return ms <= 0 ? 0 : (long) Math.ceil(ms * TENTHS - 1e-6) + 1;
     }
 
-    static long nearest(double ms) {
+    public static long nearest(double ms) {
         return Math.round(ms * TENTHS);
     }
 
-    static void write(StringBuilder out, long tenths) {
+    public static void write(StringBuilder out, long tenths) {
         if (tenths < 0) {
             out.append('-');
         }
--- /dev/null
+++ b/src/main/java/reedspring/net/ClientConnection.java
@@ -0,0 +1,154 @@
+package reedspring.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.handler.codec.DecoderException;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** One connection of a client: its open queries by message id, and its answers in any order. */
+final class ClientConnection extends ChannelInboundHandlerAdapter {
+    private final Front front;
+    private final Map<Long, OpenQuery> open = new HashMap<>();
+    private ChannelHandlerContext channel;
+    private long lastUsedAt;
+    private long deafSince = Long.MAX_VALUE;
+
+    ClientConnection(Front front) {
+        this.front = front;
+        this.lastUsedAt = front.clock().now();
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        channel = ctx;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        lastUsedAt = front.clock().now();
+        if (message instanceof RpcDecoder.Call call) {
+            take(call);
+        } else if (message instanceof RpcDecoder.Notice notice && notice.method().equals("revoke")) {
+            OpenQuery q = open.remove(notice.id());
+            if (q != null) {
+                front.left(q);
+            }
+        }
+    }
+
+    private void take(RpcDecoder.Call call) {
+        try {
+            if (open.containsKey(call.id())) {
+                // Its own first answer is still owed; the repeat can have only an error under the same id.
+                error(call.id(), "the id is open already");
+            } else if (call.fault() != null) {
+                error(call.id(), call.fault());
+            } else if (call.method().equals("heartbeat")) {
+                channel.writeAndFlush(RpcWriter.heartbeat(channel.alloc(), call.id(), front.able()));
+            } else if (open.size() >= front.limits().clientQueries()) {
+                turnAway(call.id());
+            } else {
+                // While this client was not read from, what it sent lay in a buffer.
+                long arrived = Math.min(front.timers().earliestArrival(), deafSince);
+                OpenQuery q = front.take(this, call, arrived);
+                if (q != null) {
+                    open.put(call.id(), q);
+                    front.decide(q);
+                }
+            }
+        } finally {
+            if (call.body() != null) {
+                call.body().release();
+            }
+        }
+    }
+
+    void rows(OpenQuery q, List<ByteBuf> pages) {
+        open.remove(q.messageId);
+        lastUsedAt = front.clock().now();
+        int length = pages.stream().mapToInt(ByteBuf::readableBytes).sum();
+        channel.write(RpcWriter.rowsHead(channel.alloc(), q.messageId, length));
+        pages.forEach(page -> channel.write(page.retain()));
+        front.hold(length);
+        channel.writeAndFlush(RpcWriter.rowsTail(channel.alloc())).addListener(done -> front.hold(-length));
+    }
+
+    /** A retry is safe; {@code comeBack} in tenths, 0 for no time named. */
+    void defer(OpenQuery q, long comeBack) {
+        open.remove(q.messageId);
+        shed(q.messageId, comeBack / 10);
+    }
+
+    void kill(OpenQuery q, String why) {
+        open.remove(q.messageId);
+        error(q.messageId, why);
+    }
+
+    void turnAway(long id) {
+        front.log().line("query turned away by a limit", "");
+        shed(id, front.limits().comeBack());
+    }
+
+    private void shed(long id, long pauseMs) {
+        channel.writeAndFlush(RpcWriter.error(channel.alloc(), id, "Shed", "pause",
+                pauseMs > 0 ? Long.toString(pauseMs) : null));
+    }
+
+    void error(long id, String why) {
+        channel.writeAndFlush(RpcWriter.error(channel.alloc(), id, "Fault", "say", why));
+    }
+
+    boolean idleSince(long time) {
+        return open.isEmpty() && lastUsedAt < time && !unsent();
+    }
+
+    boolean unsent() {
+        ChannelOutboundBuffer out = channel.channel().unsafe().outboundBuffer();
+        return out != null && out.totalPendingWriteBytes() > 0;
+    }
+
+    void close() {
+        channel.close();
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        boolean reads = ctx.channel().isWritable();
+        ctx.channel().config().setAutoRead(reads);
+        if (!reads) {
+            deafSince = Math.min(deafSince, front.clock().now());
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        // All that lay in the socket has been read, so that the next bytes are new.
+        deafSince = Long.MAX_VALUE;
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        front.gone(this);
+        List<OpenQuery> left = new ArrayList<>(open.values());
+        open.clear();
+        left.forEach(front::left);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (cause instanceof DecoderException && cause.getCause() == null) {
+            front.log().line("client connection closed, broken framing", cause.getMessage());
+        } else if (cause instanceof IOException) {
+            front.log().line("client connection lost", String.valueOf(cause.getMessage()));
+        } else {
+            front.log().fault("client connection closed, fault", cause);
+        }
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/reedspring/net/EngineConnection.java
@@ -0,0 +1,277 @@
+package reedspring.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.redis.ArrayRedisMessage;
+import io.netty.handler.codec.redis.FullBulkStringRedisMessage;
+import io.netty.handler.codec.redis.RedisDecoder;
+import io.netty.handler.codec.redis.RedisEncoder;
+import io.netty.handler.codec.redis.RedisMessage;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import reedspring.api.Event.Outcome;
+
+/** One connection to an engine: many submissions, answers in any order, pages asked for as they are wanted. */
+final class EngineConnection extends ChannelInboundHandlerAdapter {
+    private final Front front;
+    private final Limits limits;
+    private final String engine;
+    private final Consumer<EngineConnection> ended;
+    private final Map<String, Submission> open = new LinkedHashMap<>();
+    private Channel channel;
+    private boolean up;
+    private boolean retired;
+    private long lastUsedAt;
+
+    EngineConnection(Front front, Limits limits, String engine, Consumer<EngineConnection> ended) {
+        this.front = front;
+        this.limits = limits;
+        this.engine = engine;
+        this.ended = ended;
+        this.lastUsedAt = front.clock().now();
+    }
+
+    void dial(Bootstrap dialer, InetSocketAddress address) {
+        EngineConnection self = this;
+        ChannelFuture dialled = dialer.clone().handler(new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel made) {
+                made.pipeline().addLast(new RedisEncoder(), new RedisDecoder(), new AnswerDecoder(limits), self);
+            }
+        }).connect(address);
+        channel = dialled.channel();
+        dialled.addListener(done -> {
+            if (done.isSuccess()) {
+                up = true;
+                List.copyOf(open.values()).forEach(this::write);
+            } else {
+                end(Outcome.UNREACHABLE, "engine unreachable", String.valueOf(done.cause().getMessage()));
+            }
+        });
+    }
+
+    boolean takes(Submission s) {
+        // The same query may still be out here from before; an answer could not be told from the other's.
+        return !retired && open.size() < limits.connectionQueries() && !open.containsKey(s.query.trace)
+                && (channel == null || !up || channel.isWritable());
+    }
+
+    void send(Submission s) {
+        s.connection = this;
+        open.put(s.query.trace, s);
+        if (up) {
+            write(s);
+        }
+    }
+
+    private void write(Submission s) {
+        OpenQuery q = s.query;
+        if (q.answered) {
+            front.closed(s, Outcome.NOT_SENT);
+            return;
+        }
+        lastUsedAt = front.clock().now();
+        s.written = true;
+        long left = Math.max(1, (s.timeoutAt - lastUsedAt) / 10);
+        command(q.statement.retainedDuplicate(), "fetch", q.trace, "lane=" + q.group + ",ttl=" + left
+                + (q.priority >= 0 ? ",urgency=" + q.priority : ""));
+    }
+
+    void renice(Submission s) {
+        if (s.written) {
+            command(null, "renice", s.query.trace, Integer.toString(s.query.priority));
+        }
+    }
+
+    void cancel(Submission s) {
+        if (s.written) {
+            command(null, "abort", s.query.trace);
+        }
+    }
+
+    /** What comes for the submission later is dropped. */
+    void drop(Submission s) {
+        if (open.remove(s.query.trace, s) && s.pages != null && s.pages.length > 1 && up) {
+            command(null, "done", s.query.trace);
+        }
+        if (retired && open.isEmpty()) {
+            close();
+        }
+    }
+
+    /** Takes nothing new; what is out on it may still end well. */
+    void retire() {
+        retired = true;
+        if (open.isEmpty()) {
+            close();
+        }
+    }
+
+    void tick(long now) {
+        // Before the engine closes it for idleness: a submission that crossed that would have an unclear end.
+        if (open.isEmpty() && now - lastUsedAt >= limits.engineIdle() * 10L) {
+            close();
+        }
+    }
+
+    private void close() {
+        retired = true;
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    private void command(ByteBuf body, String... words) {
+        List<RedisMessage> parts = new ArrayList<>(words.length + 1);
+        for (String word : words) {
+            parts.add(new FullBulkStringRedisMessage(ByteBufUtil.writeUtf8(channel.alloc(), word)));
+        }
+        if (body != null) {
+            parts.add(new FullBulkStringRedisMessage(body));
+        }
+        channel.writeAndFlush(new ArrayRedisMessage(parts));
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        AnswerDecoder.Answer answer = (AnswerDecoder.Answer) message;
+        try {
+            lastUsedAt = front.clock().now();
+            Submission s = open.get(answer.id());
+            switch (answer.word()) {
+                case "data" -> data(s, answer);
+                case "page" -> page(s, answer);
+                case "full" -> over(s, Outcome.TURNED_AWAY);
+                case "failed" -> over(s, Outcome.ERROR);
+                case "moot" -> over(s, Outcome.NOT_SENT);
+                case "news" -> {
+                    if (s != null && "done".equals(answer.fields().get("why"))) {
+                        front.progress(s, figure(answer, "val", 0));
+                    }
+                }
+                case "well" -> {
+                    // tells only that the connection works
+                }
+                default -> throw new CorruptedFrameException("an answer of an unknown kind");
+            }
+        } finally {
+            answer.body().release();
+        }
+    }
+
+    private void over(Submission s, Outcome outcome) {
+        if (s != null) {
+            front.closed(s, outcome);
+        }
+    }
+
+    private void data(Submission s, AnswerDecoder.Answer answer) {
+        double sheets = figure(answer, "sheets", 1);
+        if (!(sheets >= 1 && sheets <= limits.pages())) {
+            throw new CorruptedFrameException("a result of " + sheets + " pages");
+        }
+        if (s == null || s.pages != null) {
+            if (s == null && sheets > 1) {
+                command(null, "done", answer.id());
+            }
+            return;
+        }
+        s.pages = new ByteBuf[(int) sheets];
+        s.missing = s.pages.length;
+        s.endedAt = lastUsedAt;
+        s.work = Math.round(Math.max(0, figure(answer, "toil", 0)) * 10);
+        keep(s, 0, answer.body());
+        if (s.over) {
+            return;
+        }
+        if (s.query.answered) {
+            // Nobody waits for the other pages; the work is done all the same.
+            front.closed(s, Outcome.FINISHED);
+            return;
+        }
+        for (int k = 1; k < s.pages.length; k++) {
+            command(null, "more", answer.id(), Integer.toString(k));
+        }
+    }
+
+    private void page(Submission s, AnswerDecoder.Answer answer) {
+        if (s == null) {
+            return;
+        }
+        double sheet = figure(answer, "sheet", -1);
+        if (s.pages == null || !(sheet >= 0 && sheet < s.pages.length) || sheet != Math.rint(sheet)) {
+            throw new CorruptedFrameException("a page that the result does not have");
+        }
+        keep(s, (int) sheet, answer.body());
+    }
+
+    private void keep(Submission s, int at, ByteBuf page) {
+        if (s.pages[at] != null) {
+            return;
+        }
+        s.pages[at] = page.retain();
+        s.bytes += page.readableBytes();
+        if (s.bytes > limits.answerBytes()) {
+            front.log().line("engine result over the limit", engine);
+            front.closed(s, Outcome.ERROR);
+        } else if (--s.missing == 0) {
+            front.closed(s, Outcome.FINISHED);
+        }
+    }
+
+    private static double figure(AnswerDecoder.Answer answer, String field, double otherwise) {
+        String value = answer.fields().get(field);
+        try {
+            double figure = value == null ? otherwise : Double.parseDouble(value);
+            if (Math.abs(figure) < 1e12) {
+                return figure;
+            }
+        } catch (NumberFormatException e) {
+            // malformed, as is a figure that no engine could mean
+        }
+        throw new CorruptedFrameException(field + " is no figure");
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        end(Outcome.BROKEN, "engine connection lost", "");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (cause instanceof IOException) {
+            front.log().line("engine connection lost", engine + " " + cause.getMessage());
+        } else if (cause instanceof CorruptedFrameException || cause instanceof io.netty.handler.codec
+                .DecoderException) {
+            front.log().line("engine connection closed, malformed answer", engine + " " + cause.getMessage());
+        } else {
+            front.log().fault("engine connection closed, fault", cause);
+        }
+        ctx.close();
+    }
+
+    private void end(Outcome outcome, String kind, String detail) {
+        up = false;
+        retired = true;
+        ended.accept(this);
+        if (!open.isEmpty()) {
+            front.log().line(kind, engine + " " + detail);
+        }
+        for (Submission s : List.copyOf(open.values())) {
+            front.closed(s, s.written ? Outcome.BROKEN : outcome == Outcome.BROKEN ? Outcome.UNREACHABLE
+                    : outcome);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/reedspring/net/Engines.java
@@ -0,0 +1,90 @@
+package reedspring.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import reedspring.api.Event;
+import reedspring.api.Id;
+
+/** The connections to all engines, a few to each. */
+final class Engines {
+    private final Limits limits;
+    private final Front front;
+    private final Bootstrap dialer;
+    private final Map<Id.Engine, Link> links = new LinkedHashMap<>();
+
+    /** One engine's connections. Those to an address or a process that it has no more carry nothing new. */
+    private static final class Link {
+        private Host host;
+        private final List<EngineConnection> connections = new ArrayList<>();
+    }
+
+    Engines(EventLoop loop, Limits limits, Front front) {
+        this.limits = limits;
+        this.front = front;
+        this.dialer = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeout())
+                .option(ChannelOption.TCP_NODELAY, true);
+    }
+
+    void listed(Event.Reading reading, List<Host> hosts) {
+        for (Host host : hosts) {
+            Id.Engine id = host.listing().engine();
+            Link link = links.computeIfAbsent(id, k -> new Link());
+            Host before = link.host;
+            link.host = host;
+            if (before != null && (!before.address().equals(host.address())
+                    || before.listing().startedAt() != host.listing().startedAt())) {
+                List.copyOf(link.connections).forEach(EngineConnection::retire);
+            }
+        }
+        links.forEach((id, link) -> {
+            boolean unnamed = reading != Event.Reading.CHANGES
+                    && hosts.stream().noneMatch(host -> host.listing().engine().equals(id));
+            if (unnamed || link.host.listing().health() == Event.Health.GONE) {
+                List.copyOf(link.connections).forEach(EngineConnection::retire);
+            }
+        });
+    }
+
+    void send(Id.Engine engine, Submission s) {
+        Link link = links.get(engine);
+        if (link == null) {
+            front.closed(s, Event.Outcome.UNREACHABLE);
+            return;
+        }
+        for (EngineConnection connection : link.connections) {
+            if (connection.takes(s)) {
+                connection.send(s);
+                return;
+            }
+        }
+        if (link.connections.size() >= limits.engineConnections()) {
+            front.log().line("engine connections at their limit", engine.address());
+            front.closed(s, Event.Outcome.UNREACHABLE);
+            return;
+        }
+        InetSocketAddress address = link.host.address();
+        EngineConnection connection = new EngineConnection(front, limits, engine.address(),
+                link.connections::remove);
+        link.connections.add(connection);
+        connection.send(s);
+        connection.dial(dialer, address);
+    }
+
+    void tick(long now) {
+        for (Link link : links.values()) {
+            for (EngineConnection connection : List.copyOf(link.connections)) {
+                connection.tick(now);
+            }
+        }
+        links.values().removeIf(link -> link.host.listing().health() == Event.Health.GONE
+                && link.connections.isEmpty());
+    }
+}
--- /dev/null
+++ b/src/main/java/reedspring/net/Front.java
@@ -0,0 +1,367 @@
+package reedspring.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import reedspring.Control;
+import reedspring.api.Action;
+import reedspring.api.Event;
+import reedspring.api.Event.Outcome;
+import reedspring.api.Id;
+import reedspring.boot.Boot;
+import reedspring.boot.Times;
+
+/**
+ * The front's loop: hands each event to the decisions, one at a time, and does what they ask for. It owns the
+ * queries and their submissions; what an action brings about at once comes back as an event after it.
+ */
+final class Front {
+    private static final long TICK = 10_000;
+    /** Past a query's time before the front itself answers; the rules allow a little more. */
+    private static final long LAST_RESORT = 100;
+
+    private final EventLoop loop;
+    private final Boot boot;
+    private final Limits limits;
+    private final Clock clock;
+    private final Log log;
+    private final Timers timers;
+    private final Engines engines;
+    private final Control control;
+    private final ArrayDeque<Event> events = new ArrayDeque<>();
+    private final Map<Id.Query, OpenQuery> queries = new LinkedHashMap<>();
+    private final Set<ClientConnection> clients = new LinkedHashSet<>();
+    private boolean deciding;
+    private boolean listed;
+    private boolean leaving;
+    private long ids;
+    private long held;
+    private long sumAt;
+
+    Front(EventLoop loop, Boot boot, Limits limits, long seed) {
+        this.loop = loop;
+        this.boot = boot;
+        this.limits = limits;
+        this.clock = new Clock();
+        this.log = new Log();
+        this.timers = new Timers(loop, clock, log);
+        this.engines = new Engines(loop, limits, this);
+        this.sumAt = clock.now() + limits.logEvery() * 10L;
+        deciding = true;
+        this.control = new Control(seed, boot.deployment(), clock.now(), this::act);
+        deciding = false;
+        timers.in(TICK, this::tick);
+    }
+
+    Clock clock() {
+        return clock;
+    }
+
+    Log log() {
+        return log;
+    }
+
+    Timers timers() {
+        return timers;
+    }
+
+    Limits limits() {
+        return limits;
+    }
+
+    /** Whether it can decide and means to stay. */
+    boolean able() {
+        return listed && !leaving;
+    }
+
+    // ---- engines as the journal lists them
+
+    void listed(Event.Reading reading, List<Host> hosts) {
+        engines.listed(reading, hosts);
+        listed = true;
+        on(new Event.EnginesListed(reading, hosts.stream().map(Host::listing).toList()));
+    }
+
+    // ---- clients
+
+    /** False if the connection is one too many. */
+    boolean came(ClientConnection client) {
+        if (clients.size() >= limits.clientConnections()) {
+            long now = clock.now();
+            clients.stream().filter(c -> c.idleSince(now)).findFirst().ifPresent(ClientConnection::close);
+            log.line("client connections at their limit", Integer.toString(clients.size()));
+            if (clients.size() >= limits.clientConnections()) {
+                return false;
+            }
+        }
+        clients.add(client);
+        return true;
+    }
+
+    void gone(ClientConnection client) {
+        clients.remove(client);
+    }
+
+    /** The query, still to be decided, or null if it was answered here. */
+    OpenQuery take(ClientConnection client, RpcDecoder.Call call, long arrivedAt) {
+        Map<String, String> fields = call.fields();
+        Id.Group group = boot.group(call.method());
+        String fault = null;
+        double patience = number(fields, "patience");
+        double estimate = number(fields, "weight");
+        double needMb = number(fields, "need_mb");
+        String trace = fields.get("trace");
+        if (group == null) {
+            fault = "no such method";
+        } else if (trace == null || !trace.matches("[0-9a-fA-F]{16}")) {
+            fault = "trace: 16 hex digits are wanted";
+        } else if (!(patience >= 0) || !fields.containsKey("patience")) {
+            fault = "patience: milliseconds are wanted";
+        } else if (!(estimate >= 0)) {
+            fault = "weight: milliseconds are wanted";
+        } else if (!(needMb >= 0)) {
+            fault = "need_mb: megabytes are wanted";
+        } else if (call.body() == null) {
+            fault = "the body is missing";
+        }
+        if (fault != null) {
+            log.line("request that can't be used", fault);
+            client.error(call.id(), fault);
+            return null;
+        }
+        if (queries.size() >= limits.queries() || held > limits.heldBytes()) {
+            client.turnAway(call.id());
+            return null;
+        }
+        OpenQuery q = new OpenQuery(new Id.Query(++ids), call.id(), client, trace, call.method(),
+                call.body().retain(), arrivedAt + Times.nearest(Math.min(patience, 1e9)));
+        queries.put(q.id, q);
+        hold(q.statement.readableBytes());
+        q.end = timers.at(q.leavesAt + LAST_RESORT, () -> overdue(q));
+        q.taken = new Event.Taken(q.id, group, boot.tenant(fields.get("customer")),
+                Statement.dataSet(q.statement), Times.nearest(Math.min(estimate, 1e12)), needMb, q.leavesAt,
+                null);
+        return q;
+    }
+
+    void decide(OpenQuery q) {
+        on(q.taken);
+    }
+
+    /** A figure from 0 on, 0 where it is absent, NaN where it is none. */
+    private static double number(Map<String, String> fields, String name) {
+        String value = fields.get(name);
+        try {
+            return value == null ? 0 : Double.parseDouble(value);
+        } catch (NumberFormatException e) {
+            return Double.NaN;
+        }
+    }
+
+    /** The client has gone or has revoked it. */
+    void left(OpenQuery q) {
+        if (!q.answered) {
+            q.answered = true;
+            on(new Event.Left(q.id));
+            forget(q);
+        }
+    }
+
+    private void overdue(OpenQuery q) {
+        if (!q.answered) {
+            log.line("query overdue, killed by the front", q.trace);
+            q.answered = true;
+            q.client.kill(q, "no answer in time");
+            on(new Event.Left(q.id));
+            forget(q);
+        }
+    }
+
+    private void forget(OpenQuery q) {
+        if (q.answered && q.out == null && queries.remove(q.id) != null) {
+            timers.cancel(q.end);
+            hold(-q.statement.readableBytes());
+            q.statement.release();
+        }
+    }
+
+    /** Counts bytes that wait in the front, for the limit on all of them. */
+    void hold(long bytes) {
+        held += bytes;
+    }
+
+    boolean full() {
+        return held > limits.heldBytes();
+    }
+
+    // ---- decisions
+
+    private void on(Event event) {
+        events.add(event);
+        settle();
+    }
+
+    private void settle() {
+        if (deciding) {
+            return;
+        }
+        deciding = true;
+        try {
+            for (Event next = events.poll(); next != null; next = events.poll()) {
+                try {
+                    control.on(clock.now(), next, this::act);
+                } catch (RuntimeException e) {
+                    log.fault("a decision failed", e);
+                }
+            }
+        } finally {
+            deciding = false;
+        }
+    }
+
+    private void act(Action action) {
+        if (action instanceof Action.Submit submit) {
+            submit(submit);
+        } else if (action instanceof Action.SetPriority set) {
+            OpenQuery q = queries.get(set.query());
+            if (q != null) {
+                q.priority = set.priority();
+                if (q.out != null && q.out.connection != null) {
+                    q.out.connection.renice(q.out);
+                }
+            }
+        } else if (action instanceof Action.Cancel cancel) {
+            OpenQuery q = queries.get(cancel.query());
+            if (q != null && q.out != null && q.out.number.equals(cancel.submission())) {
+                Submission s = q.out;
+                if (s.connection != null) {
+                    s.connection.cancel(s);
+                }
+                closed(s, s.written ? Outcome.CANCELLED : Outcome.NOT_SENT);
+            }
+        } else if (action instanceof Action.Defer defer) {
+            OpenQuery q = unanswered(defer.query());
+            if (q != null) {
+                q.client.defer(q, defer.comeBack());
+                forget(q);
+            }
+        } else if (action instanceof Action.Kill kill) {
+            OpenQuery q = unanswered(kill.query());
+            if (q != null) {
+                q.client.kill(q, "failed");
+                forget(q);
+            }
+        } else if (action instanceof Action.WakeMe wake) {
+            timers.in(wake.span(), () -> on(new Event.Woken(wake.timer())));
+        } else if (action instanceof Action.Remark remark) {
+            log.line(remark.text(), "");
+        }
+        // FollowEngines asks for nothing more here: the journal is followed from the start.
+    }
+
+    private OpenQuery unanswered(Id.Query id) {
+        OpenQuery q = queries.get(id);
+        if (q == null || q.answered) {
+            return null;
+        }
+        q.answered = true;
+        return q;
+    }
+
+    private void submit(Action.Submit submit) {
+        OpenQuery q = queries.get(submit.query());
+        if (q == null || q.answered || q.out != null) {
+            log.line("submission for a query that is over", Long.toString(submit.query().value()));
+            return;
+        }
+        long now = clock.now();
+        long timeoutAt = submit.timeout() > 0 ? Math.min(q.leavesAt, now + submit.timeout()) : q.leavesAt;
+        Submission s = new Submission(q, now, timeoutAt);
+        q.out = s;
+        s.end = timers.at(timeoutAt, () -> closed(s, Outcome.TIMED_OUT));
+        engines.send(submit.engine(), s);
+    }
+
+    /** A submission has ended, in whatever way; what comes of it later is not heard any more. */
+    void closed(Submission s, Outcome seen) {
+        if (s.over) {
+            return;
+        }
+        s.over = true;
+        OpenQuery q = s.query;
+        q.out = null;
+        timers.cancel(s.end);
+        if (s.connection != null) {
+            s.connection.drop(s);
+        }
+        Outcome outcome = seen;
+        if (outcome == Outcome.FINISHED && !q.answered) {
+            q.answered = true;
+            q.client.rows(q, List.of(s.pages));
+        }
+        boolean over = q.answered;
+        s.release();
+        long took = (s.endedAt > 0 ? s.endedAt : clock.now()) - s.sentAt;
+        events.add(new Event.Closed(q.id, s.number, outcome, over, took, s.work));
+        forget(q);
+        settle();
+    }
+
+    void progress(Submission s, double share) {
+        on(new Event.ShareDone(s.query.id, s.number, share));
+    }
+
+    // ---- time
+
+    private void tick() {
+        timers.in(TICK, this::tick);
+        long now = clock.now();
+        engines.tick(now);
+        clients.stream().filter(c -> c.idleSince(now - limits.clientIdle() * 10L)).toList()
+                .forEach(ClientConnection::close);
+        if (now >= sumAt) {
+            sumAt = now + limits.logEvery() * 10L;
+            log.sum();
+        }
+    }
+
+    /**
+     * The platform takes the front down: it serves on while requests can still come, answers what it has taken,
+     * and tells when nothing is left.
+     */
+    void leave(Runnable left) {
+        leaving = true;
+        log.once("leaving, " + queries.size() + " queries open");
+        long since = clock.now();
+        leaveLater(since, left);
+    }
+
+    private void leaveLater(long since, Runnable left) {
+        long gone = clock.now() - since;
+        if (gone >= limits.leavingLongest() * 10L) {
+            for (OpenQuery q : new ArrayList<>(queries.values())) {
+                if (!q.answered) {
+                    q.answered = true;
+                    q.client.kill(q, "the front ends");
+                    on(new Event.Left(q.id));
+                    forget(q);
+                }
+            }
+        }
+        boolean done = queries.values().stream().allMatch(q -> q.answered)
+                && (gone >= limits.leavingLongest() * 10L || clients.stream().noneMatch(ClientConnection::unsent));
+        if (gone >= limits.leavingQuiet() * 10L && done) {
+            log.once("left");
+            log.sum();
+            left.run();
+        } else {
+            timers.in(100, () -> leaveLater(since, left));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/reedspring/net/Host.java
@@ -0,0 +1,8 @@
+package reedspring.net;
+
+import java.net.InetSocketAddress;
+import reedspring.api.Event;
+
+/** An engine as the journal names it. Its name is its id: an address can be another's later. */
+record Host(Event.Listing listing, InetSocketAddress address) {
+}
--- /dev/null
+++ b/src/main/java/reedspring/net/Journal.java
@@ -0,0 +1,250 @@
+package reedspring.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import reedspring.api.Event;
+import reedspring.api.Event.Health;
+import reedspring.api.Event.Reading;
+import reedspring.api.Id;
+import reedspring.boot.BootException;
+
+/**
+ * Follows the list of engines: what the configuration knows first, then the journal service's events by their
+ * numbers. Whatever happens to the stream, the list held so far stays.
+ */
+final class Journal {
+    private final Front front;
+    private final Limits limits;
+    private final InetSocketAddress service;
+    private final Bootstrap dialer;
+    private final SplittableRandom chance;
+    private final Map<Id.Engine, Long> bornMs = new LinkedHashMap<>();
+    private final Map<Id.Engine, Long> startedAt = new LinkedHashMap<>();
+    private long position;
+    private long wait;
+    private Channel channel;
+    private long heardAt;
+    private boolean gapSeen;
+
+    Journal(EventLoop loop, Front front, Limits limits, InetSocketAddress service, long seed) {
+        this.front = front;
+        this.limits = limits;
+        this.service = service;
+        this.chance = new SplittableRandom(seed);
+        this.wait = limits.journalFirstWait();
+        this.dialer = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.journalSilence());
+    }
+
+    /** Hands over the list that the configuration holds. */
+    void known(Map<?, ?> known) throws BootException {
+        Map<Id.Engine, Host> held = new LinkedHashMap<>();
+        for (Object entry : Json.list(known.get("entries"), "known.entries")) {
+            Map<?, ?> event = Json.map(entry, "known.entries");
+            if (event.get("hosts") != null) {
+                Map<?, ?> list = Json.map(event.get("hosts"), "known.entries.hosts");
+                if (whole(list)) {
+                    held.clear();
+                }
+                hosts(list).forEach(host -> held.put(host.listing().engine(), host));
+            }
+        }
+        held.values().removeIf(host -> host.listing().health() == Health.GONE);
+        position = Json.whole(known, "pos", 0);
+        if (position > 0 || !held.isEmpty()) {
+            front.listed(Reading.REMEMBERED, List.copyOf(held.values()));
+        }
+    }
+
+    void follow() {
+        heardAt = front.clock().now();
+        ChannelFuture dialled = dialer.clone().handler(new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel made) {
+                made.pipeline().addLast(new HttpClientCodec(), new Stream());
+            }
+        }).connect(service);
+        channel = dialled.channel();
+        Channel called = channel;
+        called.closeFuture().addListener(closed -> again());
+        dialled.addListener(done -> {
+            if (done.isSuccess()) {
+                DefaultFullHttpRequest get =
+                        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/journal");
+                get.headers().set(HttpHeaderNames.HOST,
+                        service.getAddress().getHostAddress() + ":" + service.getPort())
+                        .set(HttpHeaderNames.ACCEPT, "text/event-stream")
+                        .set("Last-Event-ID", Long.toString(position));
+                called.writeAndFlush(get);
+            } else {
+                front.log().line("journal unreachable", String.valueOf(done.cause().getMessage()));
+            }
+        });
+        watch(called);
+    }
+
+    /** A stream that says nothing, not even a comment, is cut off. */
+    private void watch(Channel watched) {
+        front.timers().at(heardAt + limits.journalSilence() * 10L, () -> {
+            if (!watched.isOpen()) {
+                return;
+            }
+            if (front.clock().now() - heardAt >= limits.journalSilence() * 10L) {
+                front.log().line("journal silent, called again", "");
+                watched.close();
+            } else {
+                watch(watched);
+            }
+        });
+    }
+
+    private void again() {
+        // Half of the wait is chance, so that fronts which lost it together don't come back together.
+        long tenths = wait * 5 + chance.nextLong(wait * 5 + 1);
+        wait = Math.min(limits.journalLongestWait(), wait * 2);
+        front.timers().in(tenths, this::follow);
+    }
+
+    private final class Stream extends ChannelInboundHandlerAdapter {
+        private final EventStream events = new EventStream(limits.journalBytes(), this::event);
+        private boolean answered;
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            heardAt = front.clock().now();
+            try {
+                if (message instanceof HttpResponse response) {
+                    answered = response.status().code() == 200 && response.decoderResult().isSuccess();
+                    if (!answered) {
+                        front.log().line("journal refused", response.status().toString());
+                        ctx.close();
+                        return;
+                    }
+                }
+                if (message instanceof HttpContent content && answered) {
+                    events.feed(content.content());
+                }
+                if (message instanceof LastHttpContent) {
+                    ctx.close();
+                }
+            } finally {
+                ReferenceCountUtil.release(message);
+            }
+        }
+
+        private void event(String id, String data) {
+            if (!channel.isOpen()) {
+                return;
+            }
+            try {
+                if (read(id, data)) {
+                    wait = limits.journalFirstWait();
+                } else {
+                    channel.close();
+                }
+            } catch (IOException | BootException e) {
+                front.log().line("journal event malformed, called again", e.getMessage());
+                channel.close();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (cause instanceof IOException) {
+                front.log().line("journal stream lost", String.valueOf(cause.getMessage()));
+            } else {
+                front.log().fault("journal stream closed, fault", cause);
+            }
+            ctx.close();
+        }
+    }
+
+    /** False if events before it are missing and it has to be called again from the last one read. */
+    private boolean read(String id, String data) throws IOException, BootException {
+        Map<?, ?> event = Json.map(Json.read(data), "event");
+        long number = id.isEmpty() ? Json.whole(event, "pos", 0) : Json.whole(Map.of("id", id), "id", 0);
+        if (number <= position) {
+            return true;
+        }
+        Map<?, ?> list = event.get("hosts") == null ? null : Json.map(event.get("hosts"), "hosts");
+        boolean whole = list != null && whole(list);
+        if (number > position + 1 && !whole) {
+            front.log().line("journal events missing", position + " to " + number);
+            if (!gapSeen) {
+                gapSeen = true;
+                return false;
+            }
+            // Called again, and still not told: a late list is better than none.
+        }
+        List<Host> hosts = list == null ? List.of() : hosts(list);
+        gapSeen = false;
+        position = number;
+        if (list != null) {
+            front.listed(whole ? Reading.COMPLETE : Reading.CHANGES, hosts);
+        }
+        return true;
+    }
+
+    private static boolean whole(Map<?, ?> list) {
+        return "true".equals(list.get("whole"));
+    }
+
+    private List<Host> hosts(Map<?, ?> list) throws BootException {
+        List<Host> hosts = new ArrayList<>();
+        for (Object entry : Json.list(list.get("hosts"), "hosts")) {
+            Map<?, ?> host = Json.map(entry, "hosts");
+            Id.Engine engine = new Id.Engine(Json.text(host, "host"));
+            Health health = health(Json.text(host, "health"));
+            hosts.add(new Host(new Event.Listing(engine, new Id.Kind(optional(host, "class")),
+                    new Id.Zone(optional(host, "site")), new Id.Cell(Json.whole(host, "block", 0)), health,
+                    started(engine, Json.whole(host, "born_ms", 0))),
+                    Startup.address(Json.text(host, "dial"), "dial")));
+        }
+        return hosts;
+    }
+
+    /** The same start is the same moment each time it is named, whatever the system's clock did meanwhile. */
+    private long started(Id.Engine engine, long born) {
+        if (bornMs.getOrDefault(engine, -1L) != born) {
+            bornMs.put(engine, born);
+            startedAt.put(engine, front.clock().ofUnixMs(born));
+        }
+        return startedAt.get(engine);
+    }
+
+    private static String optional(Map<?, ?> host, String field) {
+        return host.get(field) instanceof String text ? text : "";
+    }
+
+    private static Health health(String word) throws BootException {
+        return switch (word) {
+            case "ready" -> Health.UP;
+            case "draining" -> Health.DRAINING;
+            case "gone" -> Health.GONE;
+            default -> throw new BootException("health", "'" + word + "' is no state of an engine");
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/reedspring/net/OpenQuery.java
@@ -0,0 +1,33 @@
+package reedspring.net;
+
+import io.netty.buffer.ByteBuf;
+import reedspring.api.Event;
+import reedspring.api.Id;
+
+/** A query from its arrival until it is answered and nothing of it is out. */
+final class OpenQuery {
+    final Id.Query id;
+    final long messageId;
+    final ClientConnection client;
+    final String trace;
+    final String group;
+    final ByteBuf statement;
+    final long leavesAt;
+    Event.Taken taken;
+    int priority = -1;
+    int submissions;
+    Submission out;
+    boolean answered;
+    Timers.Due end;
+
+    OpenQuery(Id.Query id, long messageId, ClientConnection client, String trace, String group,
+              ByteBuf statement, long leavesAt) {
+        this.id = id;
+        this.messageId = messageId;
+        this.client = client;
+        this.trace = trace;
+        this.group = group;
+        this.statement = statement;
+        this.leavesAt = leavesAt;
+    }
+}
--- /dev/null
+++ b/src/main/java/reedspring/net/RpcWriter.java
@@ -0,0 +1,64 @@
+package reedspring.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import java.nio.charset.StandardCharsets;
+
+/** The heads and tails of answers to clients; the rows between them go out as the engine's buffers. */
+final class RpcWriter {
+    private RpcWriter() {
+    }
+
+    /** What stands before a result of that many bytes. */
+    static ByteBuf rowsHead(ByteBufAllocator buffers, long id, int length) {
+        ByteBuf out = begin(buffers, id);
+        out.writeByte(0xc0).writeByte(0x92);
+        if (length < 1 << 8) {
+            out.writeByte(0xc4).writeByte(length);
+        } else if (length < 1 << 16) {
+            out.writeByte(0xc5).writeShort(length);
+        } else {
+            out.writeByte(0xc6).writeInt(length);
+        }
+        return out;
+    }
+
+    /** What stands behind it: no fields. */
+    static ByteBuf rowsTail(ByteBufAllocator buffers) {
+        return buffers.buffer(1).writeByte(0x80);
+    }
+
+    static ByteBuf heartbeat(ByteBufAllocator buffers, long id, boolean able) {
+        return begin(buffers, id).writeByte(0xc0).writeByte(0x92).writeByte(able ? 0xc3 : 0xc2).writeByte(0x80);
+    }
+
+    /** @param value of the one field, or null for none */
+    static ByteBuf error(ByteBufAllocator buffers, long id, String word, String field, String value) {
+        ByteBuf out = begin(buffers, id).writeByte(0x92);
+        text(out, word);
+        out.writeByte(value == null ? 0x80 : 0x81);
+        if (value != null) {
+            text(out, field);
+            text(out, value);
+        }
+        return out.writeByte(0xc0);
+    }
+
+    private static ByteBuf begin(ByteBufAllocator buffers, long id) {
+        ByteBuf out = buffers.buffer(64).writeByte(0x94).writeByte(1);
+        if (id < 0x80) {
+            out.writeByte((int) id);
+        } else if (id < 1L << 32) {
+            out.writeByte(0xce).writeInt((int) id);
+        } else {
+            out.writeByte(0xcf).writeLong(id);
+        }
+        return out;
+    }
+
+    private static void text(ByteBuf out, String text) {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        int length = Math.min(bytes.length, 255);
+        out.writeByte(0xd9).writeByte(length).writeBytes(bytes, 0, length);
+    }
+}
--- /dev/null
+++ b/src/main/java/reedspring/net/Startup.java
@@ -0,0 +1,156 @@
+package reedspring.net;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.NetUtil;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import reedspring.boot.Boot;
+import reedspring.boot.BootException;
+
+/** Reads the configuration, brings the front up on its loop, and takes it down when the platform says so. */
+public final class Startup {
+    private static final int UNUSABLE = 78;
+    private static final int UNAVAILABLE = 69;
+
+    private Startup() {
+    }
+
+    /** Serves until the process is ended; returns an exit code only if the front can't come up. */
+    public static int serve(Map<String, String> environment) throws InterruptedException {
+        Map<?, ?> config;
+        Boot boot;
+        Limits limits;
+        InetSocketAddress listen;
+        InetSocketAddress service;
+        long seed;
+        String name;
+        try {
+            config = read(environment.get("RELAY_CONFIG"));
+            boot = new Boot(Json.flat(Json.map(config.get("settings"), "settings")));
+            if (boot.deployment().groups().isEmpty()) {
+                throw new BootException("settings.classes", "missing");
+            }
+            limits = Limits.of(boot, (int) Json.whole(Json.map(config.get("limits"), "limits"), "sockets", 1024));
+            name = Json.text(config, "name");
+            listen = address(Json.text(config, "listen"), "listen");
+            service = address(Json.text(config, "journal"), "journal");
+            seed = seed(Json.text(config, "seed"));
+            Json.map(config.get("known"), "known");
+        } catch (BootException e) {
+            System.err.println("reedspring: configuration: " + e.getMessage());
+            return UNUSABLE;
+        }
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoop loop = group.next();
+        try {
+            Front front = on(loop, () -> {
+                Front made = new Front(loop, boot, limits, seed);
+                Journal journal = new Journal(loop, made, limits, service, ~seed);
+                journal.known(Json.map(config.get("known"), "known"));
+                journal.follow();
+                return made;
+            });
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(loop, front)));
+            ChannelFuture bound = server(group, front, limits).bind(listen).awaitUninterruptibly();
+            if (!bound.isSuccess()) {
+                System.err.println("reedspring: listen: " + bound.cause().getMessage());
+                Runtime.getRuntime().halt(UNAVAILABLE);
+            }
+            front.log().once("front " + name + " serves on " + listen);
+            bound.channel().closeFuture().sync();
+            return UNAVAILABLE;
+        } catch (ExecutionException e) {
+            System.err.println("reedspring: configuration: " + e.getCause().getMessage());
+            return UNUSABLE;
+        }
+    }
+
+    private static <T> T on(EventLoop loop, Callable<T> what) throws InterruptedException, ExecutionException {
+        return loop.submit(what).get();
+    }
+
+    /** Runs as a shutdown hook, on SIGTERM: holds the end up until the front has left, and then makes it 0. */
+    private static void leave(EventLoop loop, Front front) {
+        CountDownLatch left = new CountDownLatch(1);
+        loop.execute(() -> front.leave(left::countDown));
+        try {
+            left.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        Runtime.getRuntime().halt(0);
+    }
+
+    private static ServerBootstrap server(EventLoopGroup group, Front front, Limits limits) {
+        return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 1024)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK,
+                        new WriteBufferWaterMark(limits.unsentBytes() / 2, limits.unsentBytes()))
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(256, 2048, 16384))
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel made) {
+                        ClientConnection client = new ClientConnection(front);
+                        made.pipeline().addLast(new RpcDecoder(limits), client);
+                        if (!front.came(client)) {
+                            made.close();
+                        }
+                    }
+                });
+    }
+
+    private static Map<?, ?> read(String path) throws BootException {
+        if (path == null || path.isEmpty()) {
+            throw new BootException("RELAY_CONFIG", "missing");
+        }
+        try {
+            return Json.map(Json.read(Files.readString(Path.of(path))), "RELAY_CONFIG");
+        } catch (IOException e) {
+            throw new BootException("RELAY_CONFIG", "can't be read: " + e.getMessage().lines().findFirst()
+                    .orElse(e.getClass().getSimpleName()));
+        }
+    }
+
+    private static long seed(String text) throws BootException {
+        try {
+            return Long.parseUnsignedLong(text, 16);
+        } catch (NumberFormatException e) {
+            throw new BootException("seed", "'" + text + "' is no hexadecimal number");
+        }
+    }
+
+    /** Only figures: there is no name service. */
+    static InetSocketAddress address(String text, String field) throws BootException {
+        int colon = text.lastIndexOf(':');
+        byte[] host = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (host != null && port > 0 && port < 1 << 16) {
+                return new InetSocketAddress(InetAddress.getByAddress(host), port);
+            }
+        } catch (NumberFormatException | UnknownHostException e) {
+            // reported below
+        }
+        throw new BootException(field, "'" + text + "' is no address with a port");
+    }
+}
--- /dev/null
+++ b/src/main/java/reedspring/net/Submission.java
@@ -0,0 +1,38 @@
+package reedspring.net;
+
+import io.netty.buffer.ByteBuf;
+import reedspring.api.Id;
+
+/** One submission of a query to an engine, until its outcome. */
+final class Submission {
+    final OpenQuery query;
+    final Id.Submission number;
+    final long sentAt;
+    final long timeoutAt;
+    EngineConnection connection;
+    Timers.Due end;
+    boolean written;
+    boolean over;
+    /** Set once the engine has ended well: the pages, null where one is still to come. */
+    ByteBuf[] pages;
+    int missing;
+    int bytes;
+    long endedAt;
+    long work;
+
+    Submission(OpenQuery query, long sentAt, long timeoutAt) {
+        this.query = query;
+        this.number = new Id.Submission(query.submissions++);
+        this.sentAt = sentAt;
+        this.timeoutAt = timeoutAt;
+    }
+
+    void release() {
+        for (int k = 0; pages != null && k < pages.length; k++) {
+            if (pages[k] != null) {
+                pages[k].release();
+            }
+        }
+        pages = null;
+    }
+}
--- /dev/null
+++ b/src/main/java/reedspring/net/Timers.java
@@ -0,0 +1,87 @@
+package reedspring.net;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import java.util.concurrent.TimeUnit;
+
+/** Everything that is due later, behind one alarm of the event loop: a query must not start a task of its own. */
+final class Timers {
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Log log;
+    private final PriorityQueue<Due> queue = new PriorityQueue<>(
+            Comparator.comparingLong((Due due) -> due.at).thenComparingLong(due -> due.order));
+    private long order;
+    private Future<?> alarm;
+    private long alarmAt = Long.MAX_VALUE;
+
+    static final class Due {
+        private final long at;
+        private final long order;
+        private final Runnable what;
+
+        private Due(long at, long order, Runnable what) {
+            this.at = at;
+            this.order = order;
+            this.what = what;
+        }
+    }
+
+    Timers(EventLoop loop, Clock clock, Log log) {
+        this.loop = loop;
+        this.clock = clock;
+        this.log = log;
+    }
+
+    Due at(long time, Runnable what) {
+        Due due = new Due(time, order++, what);
+        queue.add(due);
+        arm();
+        return due;
+    }
+
+    Due in(long tenths, Runnable what) {
+        return at(clock.now() + tenths, what);
+    }
+
+    void cancel(Due due) {
+        if (due != null) {
+            queue.remove(due);
+        }
+    }
+
+    /**
+     * When what is read now may have come at the earliest. An overdue timer shows that the loop, or the whole
+     * process, stood still, and what is read after that may have waited as long.
+     */
+    long earliestArrival() {
+        long now = clock.now();
+        return queue.isEmpty() ? now : Math.min(now, queue.peek().at);
+    }
+
+    private void arm() {
+        if (queue.isEmpty() || queue.peek().at >= alarmAt) {
+            return;
+        }
+        if (alarm != null) {
+            alarm.cancel(false);
+        }
+        alarmAt = queue.peek().at;
+        alarm = loop.schedule(this::ring, Math.max(0, alarmAt - clock.now()) * 100, TimeUnit.MICROSECONDS);
+    }
+
+    private void ring() {
+        alarmAt = Long.MAX_VALUE;
+        alarm = null;
+        for (long now = clock.now(); !queue.isEmpty() && queue.peek().at <= now; ) {
+            try {
+                queue.poll().what.run();
+            } catch (RuntimeException e) {
+                log.fault("a timer failed", e);
+            }
+        }
+        arm();
+    }
+}
--- a/src/test/java/reedspring/adapter/AdapterTest.java
+++ b/src/test/java/reedspring/adapter/AdapterTest.java
@@ -8,6 +8,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import net.jqwik.api.Example;
+import reedspring.boot.Times;
 
 class AdapterTest {
     private static final String ATTACH = "ATTACH i=3 seed=9 allowed.cancel=true allowed.sendCap=3"
