--- a/src/main/java/reedspring/net/AnswerDecoder.java
+++ b/src/main/java/reedspring/net/AnswerDecoder.java
@@ -41,6 +41,11 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         boolean kept = false;
+        if (!ctx.channel().isOpen()) {
+            // What was read together with a malformed answer, behind it.
+            ReferenceCountUtil.release(message);
+            return;
+        }
         try {
             if (message instanceof ArrayHeaderRedisMessage header) {
                 if (wanted != 0 || header.isNull() || header.length() != PARTS) {
--- a/src/main/java/reedspring/net/ClientConnection.java
+++ b/src/main/java/reedspring/net/ClientConnection.java
@@ -128,8 +128,10 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        // All that lay in the socket has been read, so that the next bytes are new.
-        deafSince = Long.MAX_VALUE;
+        // All that lay in the socket has been read, so that the next bytes are new; not so while it isn't read.
+        if (ctx.channel().config().isAutoRead()) {
+            deafSince = Long.MAX_VALUE;
+        }
     }
 
     @Override
--- a/src/main/java/reedspring/net/EngineConnection.java
+++ b/src/main/java/reedspring/net/EngineConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.handler.codec.redis.FullBulkStringRedisMessage;
 import io.netty.handler.codec.redis.RedisDecoder;
@@ -148,6 +149,9 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         AnswerDecoder.Answer answer = (AnswerDecoder.Answer) message;
         try {
+            if (!ctx.channel().isOpen()) {
+                return;
+            }
             lastUsedAt = front.clock().now();
             Submission s = open.get(answer.id());
             switch (answer.word()) {
@@ -201,6 +205,11 @@
             front.closed(s, Outcome.FINISHED);
             return;
         }
+        if (s.pages.length > 1 && front.full()) {
+            front.log().line("result given up, answers at their limit", engine);
+            front.closed(s, Outcome.FINISHED);
+            return;
+        }
         for (int k = 1; k < s.pages.length; k++) {
             command(null, "more", answer.id(), Integer.toString(k));
         }
@@ -223,6 +232,7 @@
         }
         s.pages[at] = page.retain();
         s.bytes += page.readableBytes();
+        front.hold(page.readableBytes());
         if (s.bytes > limits.answerBytes()) {
             front.log().line("engine result over the limit", engine);
             front.closed(s, Outcome.ERROR);
@@ -253,8 +263,7 @@
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof IOException) {
             front.log().line("engine connection lost", engine + " " + cause.getMessage());
-        } else if (cause instanceof CorruptedFrameException || cause instanceof io.netty.handler.codec
-                .DecoderException) {
+        } else if (cause instanceof DecoderException) {
             front.log().line("engine connection closed, malformed answer", engine + " " + cause.getMessage());
         } else {
             front.log().fault("engine connection closed, fault", cause);
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -25,6 +25,8 @@
     private static final long TICK = 10_000;
     /** Past a query's time before the front itself answers; the rules allow a little more. */
     private static final long LAST_RESORT = 100;
+    private static final double LONGEST_PATIENCE = 1e9;
+    private static final double LARGEST_ESTIMATE = 1e12;
 
     private final EventLoop loop;
     private final Boot boot;
@@ -40,6 +42,7 @@
     private boolean deciding;
     private boolean listed;
     private boolean leaving;
+    private long stayUntil = Long.MAX_VALUE;
     private long ids;
     private long held;
     private long sumAt;
@@ -94,11 +97,13 @@
     boolean came(ClientConnection client) {
         if (clients.size() >= limits.clientConnections()) {
             long now = clock.now();
-            clients.stream().filter(c -> c.idleSince(now)).findFirst().ifPresent(ClientConnection::close);
             log.line("client connections at their limit", Integer.toString(clients.size()));
-            if (clients.size() >= limits.clientConnections()) {
+            ClientConnection idle = clients.stream().filter(c -> c.idleSince(now)).findFirst().orElse(null);
+            if (idle == null) {
                 return false;
             }
+            clients.remove(idle);
+            idle.close();
         }
         clients.add(client);
         return true;
@@ -140,12 +145,13 @@
             return null;
         }
         OpenQuery q = new OpenQuery(new Id.Query(++ids), call.id(), client, trace, call.method(),
-                call.body().retain(), arrivedAt + Times.nearest(Math.min(patience, 1e9)));
+                call.body().retain(), Math.min(stayUntil,
+                        arrivedAt + Times.nearest(Math.min(patience, LONGEST_PATIENCE))));
         queries.put(q.id, q);
         hold(q.statement.readableBytes());
         q.end = timers.at(q.leavesAt + LAST_RESORT, () -> overdue(q));
         q.taken = new Event.Taken(q.id, group, boot.tenant(fields.get("customer")),
-                Statement.dataSet(q.statement), Times.nearest(Math.min(estimate, 1e12)), needMb, q.leavesAt,
+                Statement.dataSet(q.statement), Times.nearest(Math.min(estimate, LARGEST_ESTIMATE)), needMb, q.leavesAt,
                 null);
         return q;
     }
@@ -216,7 +222,8 @@
             for (Event next = events.poll(); next != null; next = events.poll()) {
                 try {
                     control.on(clock.now(), next, this::act);
-                } catch (RuntimeException e) {
+                } catch (RuntimeException | Error e) {
+                    // What it was about is answered at its time at the latest, by the front itself.
                     log.fault("a decision failed", e);
                 }
             }
@@ -225,7 +232,16 @@
         }
     }
 
+    /** A fault in what is done must not reach the decisions half-way through an event. */
     private void act(Action action) {
+        try {
+            perform(action);
+        } catch (RuntimeException | Error e) {
+            log.fault("an action failed", e);
+        }
+    }
+
+    private void perform(Action action) {
         if (action instanceof Action.Submit submit) {
             submit(submit);
         } else if (action instanceof Action.SetPriority set) {
@@ -303,9 +319,14 @@
         Outcome outcome = seen;
         if (outcome == Outcome.FINISHED && !q.answered) {
             q.answered = true;
-            q.client.rows(q, List.of(s.pages));
+            if (s.missing == 0) {
+                q.client.rows(q, List.of(s.pages));
+            } else {
+                q.client.kill(q, "no room for the result");
+            }
         }
         boolean over = q.answered;
+        hold(-s.bytes);
         s.release();
         long took = (s.endedAt > 0 ? s.endedAt : clock.now()) - s.sentAt;
         events.add(new Event.Closed(q.id, s.number, outcome, over, took, s.work));
@@ -337,14 +358,15 @@
      */
     void leave(Runnable left) {
         leaving = true;
+        stayUntil = clock.now() + limits.leavingLongest() * 10L;
         log.once("leaving, " + queries.size() + " queries open");
-        long since = clock.now();
-        leaveLater(since, left);
+        leaveLater(clock.now(), left);
     }
 
     private void leaveLater(long since, Runnable left) {
         long gone = clock.now() - since;
-        if (gone >= limits.leavingLongest() * 10L) {
+        boolean last = clock.now() >= stayUntil;
+        if (last) {
             for (OpenQuery q : new ArrayList<>(queries.values())) {
                 if (!q.answered) {
                     q.answered = true;
@@ -355,7 +377,7 @@
             }
         }
         boolean done = queries.values().stream().allMatch(q -> q.answered)
-                && (gone >= limits.leavingLongest() * 10L || clients.stream().noneMatch(ClientConnection::unsent));
+                && (last || clients.stream().noneMatch(ClientConnection::unsent));
         if (gone >= limits.leavingQuiet() * 10L && done) {
             log.once("left");
             log.sum();
--- a/src/main/java/reedspring/net/Limits.java
+++ b/src/main/java/reedspring/net/Limits.java
@@ -8,17 +8,18 @@
  * sizes bytes. None of them is a decision: where one is met, the query is turned away unseen.
  *
  * @param heldBytes statements and answers held at once; past it new queries are turned away
+ * @param socketBytes what the kernel may hold for one client each way, as it counts against the front's memory
  * @param unsentBytes of one client, past which it is not read from until it has read
  */
 record Limits(int clientConnections, int clientQueries, int clientIdle, int messageBytes, int messageValues,
-              int queries, long heldBytes, int unsentBytes, int answerBytes, int pageBytes, int pages,
+              int queries, long heldBytes, int unsentBytes, int socketBytes, int answerBytes, int pageBytes, int pages,
               int engineConnections, int connectionQueries, int connectTimeout, int engineIdle,
               int journalSilence, int journalFirstWait, int journalLongestWait, int journalBytes,
               int leavingQuiet, int leavingLongest, int comeBack, int logEvery) {
 
     static Limits of(Boot boot, int sockets) throws BootException {
         return new Limits(Math.max(8, sockets / 2), 32, 60_000, 1 << 18, 256,
-                4096, 12 << 20, 1 << 16, 48_000, 6_000, 64,
+                2048, 12 << 20, 1 << 16, 1 << 16, 48_000, 6_000, 64,
                 Math.max(1, Math.min(8, sockets / 64)), (int) boot.number("allowed.multiplex", 32),
                 (int) boot.number("allowed.connectTimeoutMs", 1000),
                 (int) (boot.number("allowed.idleCloseMs", 30_000) * 0.8),
--- a/src/main/java/reedspring/net/Startup.java
+++ b/src/main/java/reedspring/net/Startup.java
@@ -20,7 +20,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
-import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import reedspring.boot.Boot;
@@ -30,62 +29,63 @@
 public final class Startup {
     private static final int UNUSABLE = 78;
     private static final int UNAVAILABLE = 69;
+    private static final int LEAST_SOCKETS = 64;
 
     private Startup() {
     }
 
-    /** Serves until the process is ended; returns an exit code only if the front can't come up. */
-    public static int serve(Map<String, String> environment) throws InterruptedException {
-        Map<?, ?> config;
-        Boot boot;
-        Limits limits;
-        InetSocketAddress listen;
-        InetSocketAddress service;
-        long seed;
-        String name;
-        try {
-            config = read(environment.get("RELAY_CONFIG"));
-            boot = new Boot(Json.flat(Json.map(config.get("settings"), "settings")));
+    /** All that the configuration file tells. */
+    private record Orders(String name, InetSocketAddress listen, InetSocketAddress journal, long seed,
+                          Map<?, ?> known, Boot boot, Limits limits) {
+        static Orders read(String path) throws BootException {
+            Map<?, ?> file = file(path);
+            Boot boot = new Boot(Json.flat(Json.map(file.get("settings"), "settings")));
             if (boot.deployment().groups().isEmpty()) {
                 throw new BootException("settings.classes", "missing");
             }
-            limits = Limits.of(boot, (int) Json.whole(Json.map(config.get("limits"), "limits"), "sockets", 1024));
-            name = Json.text(config, "name");
-            listen = address(Json.text(config, "listen"), "listen");
-            service = address(Json.text(config, "journal"), "journal");
-            seed = seed(Json.text(config, "seed"));
-            Json.map(config.get("known"), "known");
-        } catch (BootException e) {
-            System.err.println("reedspring: configuration: " + e.getMessage());
-            return UNUSABLE;
+            long sockets = Json.whole(Json.map(file.get("limits"), "limits"), "sockets", 0);
+            if (sockets < LEAST_SOCKETS) {
+                throw new BootException("limits.sockets", "at least " + LEAST_SOCKETS + " are needed");
+            }
+            return new Orders(Json.text(file, "name"), address(Json.text(file, "listen"), "listen"),
+                    address(Json.text(file, "journal"), "journal"), seedOf(Json.text(file, "seed")),
+                    Json.map(file.get("known"), "known"), boot,
+                    Limits.of(boot, (int) Math.min(sockets, Integer.MAX_VALUE)));
         }
+    }
+
+    /** Serves until the process is ended; returns an exit code only if the front can't come up. */
+    public static int serve(Map<String, String> environment) throws InterruptedException {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
         try {
-            Front front = on(loop, () -> {
-                Front made = new Front(loop, boot, limits, seed);
-                Journal journal = new Journal(loop, made, limits, service, ~seed);
-                journal.known(Json.map(config.get("known"), "known"));
-                journal.follow();
-                return made;
-            });
+            Orders orders = Orders.read(environment.get("RELAY_CONFIG"));
+            Front front = loop.submit(() -> raise(loop, orders)).get();
             Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(loop, front)));
-            ChannelFuture bound = server(group, front, limits).bind(listen).awaitUninterruptibly();
-            if (!bound.isSuccess()) {
+            ChannelFuture bound = server(group, front, orders.limits()).bind(orders.listen());
+            if (!bound.awaitUninterruptibly().isSuccess()) {
                 System.err.println("reedspring: listen: " + bound.cause().getMessage());
                 Runtime.getRuntime().halt(UNAVAILABLE);
             }
-            front.log().once("front " + name + " serves on " + listen);
+            front.log().once("front " + orders.name() + " serves on " + orders.listen());
             bound.channel().closeFuture().sync();
             return UNAVAILABLE;
+        } catch (BootException e) {
+            System.err.println("reedspring: configuration: " + e.getMessage());
+            return UNUSABLE;
         } catch (ExecutionException e) {
-            System.err.println("reedspring: configuration: " + e.getCause().getMessage());
+            System.err.println("reedspring: " + (e.getCause() instanceof BootException ? "configuration: " : "")
+                    + e.getCause().getMessage());
             return UNUSABLE;
         }
     }
 
-    private static <T> T on(EventLoop loop, Callable<T> what) throws InterruptedException, ExecutionException {
-        return loop.submit(what).get();
+    private static Front raise(EventLoop loop, Orders orders) throws BootException {
+        Front front = new Front(loop, orders.boot(), orders.limits(), orders.seed());
+        Journal journal = new Journal(loop, front, orders.limits(), orders.journal(), ~orders.seed());
+        journal.known(orders.known());
+        journal.follow();
+        return front;
     }
 
     /** Runs as a shutdown hook, on SIGTERM: holds the end up until the front has left, and then makes it 0. */
@@ -103,6 +103,8 @@
     private static ServerBootstrap server(EventLoopGroup group, Front front, Limits limits) {
         return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 1024)
+                .option(ChannelOption.SO_RCVBUF, limits.socketBytes())
+                .childOption(ChannelOption.SO_SNDBUF, limits.socketBytes())
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK,
                         new WriteBufferWaterMark(limits.unsentBytes() / 2, limits.unsentBytes()))
@@ -119,7 +121,7 @@
                 });
     }
 
-    private static Map<?, ?> read(String path) throws BootException {
+    private static Map<?, ?> file(String path) throws BootException {
         if (path == null || path.isEmpty()) {
             throw new BootException("RELAY_CONFIG", "missing");
         }
@@ -131,7 +133,7 @@
         }
     }
 
-    private static long seed(String text) throws BootException {
+    private static long seedOf(String text) throws BootException {
         try {
             return Long.parseUnsignedLong(text, 16);
         } catch (NumberFormatException e) {
--- a/src/main/java/reedspring/net/Timers.java
+++ b/src/main/java/reedspring/net/Timers.java
@@ -78,7 +78,8 @@
         for (long now = clock.now(); !queue.isEmpty() && queue.peek().at <= now; ) {
             try {
                 queue.poll().what.run();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
+                // Whatever failed, the alarm below has to be set again: without it nothing ends in time.
                 log.fault("a timer failed", e);
             }
         }
--- a/src/test/java/reedspring/House.java
+++ b/src/test/java/reedspring/House.java
@@ -1,5 +1,21 @@
 package reedspring;
 
+import java.io.BufferedInputStream;
+import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -8,6 +24,10 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 import reedspring.api.Action;
 import reedspring.api.Deployment;
 import reedspring.api.Deployment.Effect;
@@ -20,9 +40,9 @@
 
 /**
  * Stands around one Control: keeps the books a client, the engines and discovery would, and checks every
- * action.
+ * action. Further down it stands around the started program, as its clients, engines and journal service.
  */
-final class House {
+public final class House {
     static final long SECOND = 10_000;
     private static final long GRACE = 200;
     private static final long USUAL_AT_LEAST = 5_000;
@@ -318,4 +338,417 @@
         return deployment(fronts[chance.nextInt(4)], chance.nextBoolean(), chance.nextInt(3) == 0, ration,
                 SHORT, LONG, third, fourth);
     }
+
+    // ---- round a started program: clients, engines and the journal service on loopback sockets
+
+    static final long PATIENCE_S = 20;
+
+    /** Waits for what other threads bring about. */
+    public static <T> T await(String what, Supplier<T> found) throws InterruptedException {
+        for (long end = System.nanoTime() + PATIENCE_S * 1_000_000_000L; System.nanoTime() < end; ) {
+            T value = found.get();
+            if (value != null && !Boolean.FALSE.equals(value)) {
+                return value;
+            }
+            Thread.sleep(5);
+        }
+        throw new AssertionError("waited in vain for " + what);
+    }
+
+    /** Accepts connections on a free port, each served by a thread of its own. */
+    abstract static class Server implements Closeable {
+        final ServerSocket socket;
+        public final List<Socket> accepted = new CopyOnWriteArrayList<>();
+
+        Server(int port) throws IOException {
+            socket = new ServerSocket(port, 64, InetAddress.getLoopbackAddress());
+            background(() -> {
+                while (true) {
+                    Socket next = socket.accept();
+                    next.setTcpNoDelay(true);
+                    accepted.add(next);
+                    background(() -> serve(next));
+                }
+            });
+        }
+
+        interface Work {
+            void run() throws IOException;
+        }
+
+        static void background(Work work) {
+            Thread thread = new Thread(() -> {
+                try {
+                    work.run();
+                } catch (IOException e) {
+                    // the other side has gone, or the test is over
+                }
+            });
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        abstract void serve(Socket peer) throws IOException;
+
+        public String address() {
+            return "127.0.0.1:" + socket.getLocalPort();
+        }
+
+        /** Ends the connections as a process does that dies. */
+        public void reset() throws IOException {
+            for (Socket peer : accepted) {
+                if (!peer.isClosed()) {
+                    peer.setSoLinger(true, 0);
+                    peer.close();
+                }
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+            reset();
+        }
+    }
+
+    /** A query engine that does with each command what the test says. */
+    public static final class EngineStandIn extends Server {
+        /** One command as it came, and a way to answer on its connection. */
+        public record Command(List<String> words, Socket from) {
+            public String word() {
+                return words.get(0);
+            }
+
+            public String id() {
+                return words.get(1);
+            }
+
+            public void answer(String word, String fields, String body) {
+                answerRaw("*4" + bulk(id()) + bulk(word) + bulk(fields) + bulk(body) + "\r\n");
+            }
+
+            public void answerRaw(String text) {
+                try {
+                    synchronized (from) {
+                        from.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+                    }
+                } catch (IOException e) {
+                    // the front has closed it; the test sees that elsewhere
+                }
+            }
+
+            private static String bulk(String text) {
+                return "\r\n$" + text.length() + "\r\n" + text;
+            }
+        }
+
+        private final Consumer<Command> work;
+        public final List<Command> seen = new CopyOnWriteArrayList<>();
+
+        public EngineStandIn(Consumer<Command> work) throws IOException {
+            this(0, work);
+        }
+
+        public EngineStandIn(int port, Consumer<Command> work) throws IOException {
+            super(port);
+            this.work = work;
+        }
+
+        public int port() {
+            return socket.getLocalPort();
+        }
+
+        public List<Command> seen(String word) {
+            return seen.stream().filter(command -> command.word().equals(word)).toList();
+        }
+
+        /** Ends each query at once with that many pages, each naming its number and the query. */
+        public static Consumer<Command> pages(int count) {
+            return command -> {
+                if (command.word().equals("fetch")) {
+                    command.answer("data", "sheets=" + count + ",toil=3.5,room=12", page(command.id(), 0));
+                } else if (command.word().equals("more")) {
+                    String sheet = command.words().get(2);
+                    command.answer("page", "sheet=" + sheet, page(command.id(), Integer.parseInt(sheet)));
+                }
+            };
+        }
+
+        public static String page(String id, int sheet) {
+            return (id + "\t" + sheet + "\trow\n").repeat(250);
+        }
+
+        @Override
+        void serve(Socket peer) throws IOException {
+            DataInputStream in = new DataInputStream(new BufferedInputStream(peer.getInputStream()));
+            while (true) {
+                List<String> words = new ArrayList<>();
+                for (int left = length(in, '*'); left > 0; left--) {
+                    byte[] word = new byte[length(in, '$')];
+                    in.readFully(word);
+                    in.skipBytes(2);
+                    words.add(new String(word, StandardCharsets.ISO_8859_1));
+                }
+                Command command = new Command(words, peer);
+                seen.add(command);
+                work.accept(command);
+            }
+        }
+
+        private static int length(DataInputStream in, int type) throws IOException {
+            require(in.readUnsignedByte() == type, "RESP from the front", null);
+            int length = 0;
+            for (int c = in.readUnsignedByte(); c != '\r'; c = in.readUnsignedByte()) {
+                length = length * 10 + c - '0';
+            }
+            in.skipBytes(1);
+            return length;
+        }
+    }
+
+    /** The journal service: notes from where it was called, and sends what the test says. */
+    public static final class JournalStandIn extends Server {
+        public final List<String> calledFrom = new CopyOnWriteArrayList<>();
+
+        public JournalStandIn() throws IOException {
+            super(0);
+        }
+
+        @Override
+        void serve(Socket peer) throws IOException {
+            BufferedReader in = new BufferedReader(new InputStreamReader(peer.getInputStream(),
+                    StandardCharsets.US_ASCII));
+            String from = "";
+            for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
+                from = line.toLowerCase().startsWith("last-event-id:") ? line.substring(14).trim() : from;
+            }
+            peer.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hello\n"
+                    .getBytes(StandardCharsets.US_ASCII));
+            calledFrom.add(from);
+        }
+
+        public void send(String text) throws IOException {
+            accepted.get(accepted.size() - 1).getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        /** One event that lists engines: name, address, state, and so on. */
+        public static String event(int pos, boolean whole, String... hosts) {
+            return "{\"pos\":" + pos + ",\"hosts\":{\"seq\":" + pos + ",\"whole\":" + whole + ",\"hosts\":["
+                    + String.join(",", hosts) + "]}}";
+        }
+
+        public static String host(String name, String address, String health) {
+            return "{\"host\":\"" + name + "\",\"dial\":\"" + address + "\",\"site\":\"a\",\"class\":\"m\","
+                    + "\"block\":0,\"health\":\"" + health + "\",\"share\":1,\"born_ms\":0,\"colour\":3}";
+        }
+    }
+
+    /** The program, started as the platform starts it. */
+    public static final class Program implements Closeable {
+        public final Process process;
+        public final List<String> log = new CopyOnWriteArrayList<>();
+        public final String listen;
+
+        public Program(String config) throws IOException {
+            this.listen = config.replaceAll(".*\"listen\":\"([^\"]*)\".*", "$1");
+            Path file = Files.createTempFile("reedspring", ".json");
+            file.toFile().deleteOnExit();
+            Files.writeString(file, config);
+            String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                    .filter(line -> line.startsWith("run =")).findFirst().orElseThrow().split("\"")[1];
+            ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run).redirectErrorStream(true);
+            builder.environment().put("RELAY_CONFIG", file.toString());
+            process = builder.start();
+            Server.background(() -> {
+                BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream(),
+                        StandardCharsets.UTF_8));
+                for (String line = out.readLine(); line != null; line = out.readLine()) {
+                    log.add(line);
+                }
+            });
+        }
+
+        public Program ready() throws InterruptedException {
+            await("the front to serve", () -> logged("serves on") || !process.isAlive());
+            require(process.isAlive(), "the front ended: " + log, null);
+            return this;
+        }
+
+        public boolean logged(String text) {
+            return log.stream().anyMatch(line -> line.contains(text));
+        }
+
+        public Client client() throws IOException {
+            return new Client(Integer.parseInt(listen.substring(listen.indexOf(':') + 1)));
+        }
+
+        @Override
+        public void close() {
+            process.destroyForcibly();
+        }
+
+        /** @param known the journal's events of the start; a null journal leaves the field out */
+        public static String config(String listen, String journal, String... known) {
+            return "{\"name\":\"n0\",\"listen\":\"" + listen + "\",\"seed\":\"8c1f30d27a5be964\","
+                    + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
+                    + (journal == null ? "" : "\"journal\":\"" + journal + "\",")
+                    + "\"known\":{\"pos\":" + known.length + ",\"entries\":[" + String.join(",", known) + "]},"
+                    + "\"settings\":{\"fleetSize\":1,\"allowed\":{\"cancel\":false,\"sendCap\":3,"
+                    + "\"connectTimeoutMs\":250.0,\"multiplex\":32,\"idleCloseMs\":30000.0,"
+                    + "\"retryAfter\":true,\"maxRetryAfterMs\":500.0},\"classes\":[{\"name\":\"lookup\","
+                    + "\"aimMs\":900.0,\"aimStretch\":2.0,\"effect\":\"repeatable\",\"points\":1.0}],"
+                    + "\"kinds\":[\"m\"],\"familyInfo\":{\"parallelism\":[1],\"sizeCores\":[40],"
+                    + "\"memoryByKindMb\":[64000.0],\"lanesCount\":true},\"customers\":[{\"name\":\"acme\","
+                    + "\"share\":1.0,\"quotaPerS\":100.0}],\"novelty\":[1,{\"a\":null}]}}";
+        }
+
+        public static String freeAddress() throws IOException {
+            try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                return "127.0.0.1:" + probe.getLocalPort();
+            }
+        }
+    }
+
+    /** A client that speaks MessagePack-RPC, written apart from the front's own codec. */
+    public static final class Client implements Closeable {
+        public final Socket socket;
+        private final DataInputStream in;
+        private static final AtomicLong TRACES = new AtomicLong(0x1234_5678_9abc_def0L);
+
+        Client(int port) throws IOException {
+            socket = new Socket(InetAddress.getLoopbackAddress(), port);
+            socket.setTcpNoDelay(true);
+            socket.setSoTimeout((int) PATIENCE_S * 1000);
+            in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
+        }
+
+        public static String trace() {
+            return String.format("%016x", TRACES.incrementAndGet());
+        }
+
+        public static Map<String, Object> fields(String trace, int patienceMs) {
+            Map<String, Object> fields = new LinkedHashMap<>();
+            fields.put("trace", trace);
+            fields.put("patience", Integer.toString(patienceMs));
+            fields.put("customer", "acme");
+            fields.put("weight", "4.0");
+            fields.put("need_mb", "1");
+            return fields;
+        }
+
+        public static byte[] query(int id, String trace, int patienceMs, String statement) {
+            return pack(List.of(0, id, "lookup", List.of(fields(trace, patienceMs),
+                    statement.getBytes(StandardCharsets.UTF_8))));
+        }
+
+        public Client send(byte[]... messages) throws IOException {
+            for (byte[] message : messages) {
+                socket.getOutputStream().write(message);
+            }
+            return this;
+        }
+
+        /** The next message, as lists, maps, text, bytes and figures. */
+        public List<?> read() throws IOException {
+            return (List<?>) unpack(in);
+        }
+
+        /** Answers as they come, by id. */
+        public Map<Long, List<?>> read(int count) throws IOException {
+            Map<Long, List<?>> answers = new LinkedHashMap<>();
+            for (int k = 0; k < count; k++) {
+                List<?> answer = read();
+                require(answers.put((Long) answer.get(1), answer) == null, "answered twice: " + answer, null);
+            }
+            return answers;
+        }
+
+        /** Whether the front has ended the connection and nothing more came before. */
+        public boolean ended() throws IOException {
+            try {
+                return in.read() < 0;
+            } catch (SocketException e) {
+                return true;
+            }
+        }
+
+        /** The result of an answer as text, or null if it is an error. */
+        public static String rows(List<?> answer) {
+            return answer.get(2) != null ? null
+                    : new String((byte[]) ((List<?>) answer.get(3)).get(0), StandardCharsets.UTF_8);
+        }
+
+        public static Object error(List<?> answer) {
+            return answer.get(2) == null ? null : ((List<?>) answer.get(2)).get(0);
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+
+        public static byte[] pack(Object value) {
+            ByteArrayOutputStream out = new ByteArrayOutputStream();
+            try {
+                pack(value, new DataOutputStream(out));
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+            return out.toByteArray();
+        }
+
+        private static void pack(Object value, DataOutputStream out) throws IOException {
+            if (value instanceof Integer number) {
+                out.writeByte(0xd2);
+                out.writeInt(number);
+            } else if (value instanceof String text) {
+                out.writeByte(0xdb);
+                out.writeInt(text.length());
+                out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+            } else if (value instanceof byte[] bytes) {
+                out.writeByte(0xc6);
+                out.writeInt(bytes.length);
+                out.write(bytes);
+            } else if (value instanceof List<?> list) {
+                out.writeByte(0xdc);
+                out.writeShort(list.size());
+                for (Object item : list) {
+                    pack(item, out);
+                }
+            } else if (value instanceof Map<?, ?> map) {
+                out.writeByte(0xde);
+                out.writeShort(map.size());
+                for (Map.Entry<?, ?> entry : map.entrySet()) {
+                    pack(entry.getKey(), out);
+                    pack(entry.getValue(), out);
+                }
+            } else {
+                out.writeByte(0xc0);
+            }
+        }
+
+        private static Object unpack(DataInputStream in) throws IOException {
+            int type = in.readUnsignedByte();
+            return switch (type) {
+                case 0xc0 -> null;
+                case 0xc2 -> false;
+                case 0xc3 -> true;
+                case 0xc4 -> in.readNBytes(in.readUnsignedByte());
+                case 0xc5 -> in.readNBytes(in.readUnsignedShort());
+                case 0xce -> in.readInt() & 0xffff_ffffL;
+                case 0xd9 -> new String(in.readNBytes(in.readUnsignedByte()), StandardCharsets.UTF_8);
+                default -> {
+                    if (type < 0x80) {
+                        yield (long) type;
+                    }
+                    List<Object> items = new ArrayList<>();
+                    require(type < 0xa0, "a type that the front has no use for: " + type, null);
+                    for (int left = (type & 0xf) * (type < 0x90 ? 2 : 1); left > 0; left--) {
+                        items.add(unpack(in));
+                    }
+                    yield items;
+                }
+            };
+        }
+    }
 }
--- /dev/null
+++ b/src/test/java/reedspring/net/CodecTest.java
@@ -0,0 +1,209 @@
+package reedspring.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.redis.RedisDecoder;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import reedspring.House.Client;
+import reedspring.boot.Boot;
+import reedspring.boot.BootException;
+
+/** The codecs, fed in pieces of any size and with bytes that are none of theirs. */
+class CodecTest {
+    private static Limits limits() {
+        try {
+            return Limits.of(new Boot(Map.of()), 1024);
+        } catch (BootException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private static byte[] joined(List<byte[]> parts) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        parts.forEach(out::writeBytes);
+        return out.toByteArray();
+    }
+
+    /** Hands the bytes over in pieces that chance cuts, and takes what comes out. */
+    private static List<Object> feed(EmbeddedChannel channel, byte[] bytes, SplittableRandom chance) {
+        List<Object> out = new ArrayList<>();
+        for (int at = 0; at < bytes.length; ) {
+            int size = Math.min(bytes.length - at, 1 + chance.nextInt(chance.nextInt(4) == 0 ? 3000 : 9));
+            channel.writeInbound(Unpooled.copiedBuffer(bytes, at, size));
+            at += size;
+            for (Object next = channel.readInbound(); next != null; next = channel.readInbound()) {
+                out.add(next);
+            }
+        }
+        return out;
+    }
+
+    private static String text(ByteBuf body) {
+        String text = body.toString(StandardCharsets.ISO_8859_1);
+        body.release();
+        return text;
+    }
+
+    @Property(tries = 60, seed = "31")
+    void requestsComeOutWholeWhateverThePieces(@ForAll long seed) {
+        SplittableRandom chance = new SplittableRandom(seed);
+        EmbeddedChannel channel = new EmbeddedChannel(new RpcDecoder(limits()));
+        List<byte[]> sent = new ArrayList<>();
+        List<String> statements = new ArrayList<>();
+        for (int id = 0; id < 20; id++) {
+            statements.add("s".repeat(chance.nextInt(chance.nextInt(6) == 0 ? 70_000 : 40)));
+            sent.add(Client.query(id, Client.trace(), id, statements.get(id)));
+            sent.add(Client.pack(List.of(2, "revoke", List.of(id))));
+            sent.add(Client.pack(List.of(1, id, "passed over", Map.of("a", List.of(1, Map.of())))));
+        }
+        List<Object> out = feed(channel, joined(sent), chance);
+        assertEquals(40, out.size());
+        for (int id = 0; id < 20; id++) {
+            RpcDecoder.Call call = (RpcDecoder.Call) out.get(2 * id);
+            assertEquals((long) id, call.id());
+            assertEquals("lookup", call.method());
+            assertEquals(Integer.toString(id), call.fields().get("patience"));
+            assertNull(call.fault());
+            assertEquals(statements.get(id), text(call.body()));
+            assertEquals(new RpcDecoder.Notice("revoke", id), out.get(2 * id + 1));
+        }
+        assertFalse(channel.finish());
+    }
+
+    /** No bytes do more than end their own connection, and what is asked for is bounded. */
+    @Property(tries = 400, seed = "32")
+    void noiseIsReadOrRefusedAndNothingElse(@ForAll long seed) {
+        SplittableRandom chance = new SplittableRandom(seed);
+        byte[] noise = new byte[1 + chance.nextInt(600)];
+        chance.nextBytes(noise);
+        byte[] request = Client.query(1, Client.trace(), 5, "select");
+        if (chance.nextBoolean()) {
+            // Near misses: a request with some bytes changed.
+            for (int k = 0; k < 1 + chance.nextInt(4); k++) {
+                request[chance.nextInt(request.length)] = noise[0];
+            }
+            noise = request;
+        }
+        quiet(new EmbeddedChannel(new RpcDecoder(limits())), noise, chance);
+        quiet(new EmbeddedChannel(new RedisDecoder(), new AnswerDecoder(limits())), noise, chance);
+        Statement.dataSet(Unpooled.wrappedBuffer(noise));
+        new EventStream(1000, (id, data) -> assertTrue(data.length() <= 1000)).feed(
+                Unpooled.wrappedBuffer(noise));
+        try {
+            Json.read(new String(noise, StandardCharsets.ISO_8859_1));
+        } catch (IOException e) {
+            // refused, as nearly all noise is
+        }
+    }
+
+    private static void quiet(EmbeddedChannel channel, byte[] noise, SplittableRandom chance) {
+        try {
+            feed(channel, noise, chance);
+            channel.finishAndReleaseAll();
+        } catch (DecoderException e) {
+            channel.close();
+        }
+    }
+
+    @Example
+    void aMessageOverALimitIsRefusedBeforeItHasCome() {
+        for (byte[] head : List.of(new byte[] {(byte) 0xc6, 0, 16, 0, 0}, new byte[] {(byte) 0xdd, 0, 1, 0, 0},
+                new byte[] {(byte) 0xdf, 127, -1, -1, -1}, new byte[] {(byte) 0xc1})) {
+            EmbeddedChannel channel = new EmbeddedChannel(new RpcDecoder(limits()));
+            assertThrows(DecoderException.class, () -> channel.writeInbound(Unpooled.wrappedBuffer(head)));
+        }
+        byte[] deep = new byte[300];
+        java.util.Arrays.fill(deep, (byte) 0x91);
+        EmbeddedChannel channel = new EmbeddedChannel(new RpcDecoder(limits()));
+        assertThrows(DecoderException.class, () -> channel.writeInbound(Unpooled.wrappedBuffer(deep)));
+        EmbeddedChannel engine = new EmbeddedChannel(new RedisDecoder(), new AnswerDecoder(limits()));
+        assertThrows(DecoderException.class, () -> engine.writeInbound(Unpooled.copiedBuffer(
+                "*4\r\n$1\r\na\r\n$4\r\ndata\r\n$1\r\n-\r\n$6001\r\n", StandardCharsets.US_ASCII)));
+    }
+
+    @Property(tries = 60, seed = "33")
+    void answersOfEnginesComeOutWholeWhateverThePieces(@ForAll long seed) {
+        SplittableRandom chance = new SplittableRandom(seed);
+        StringBuilder sent = new StringBuilder();
+        List<String> bodies = new ArrayList<>();
+        for (int k = 0; k < 30; k++) {
+            String body = "r\t\u00e9\r\n".repeat(chance.nextInt(chance.nextInt(3) == 0 ? 1200 : 3));
+            bodies.add(body);
+            sent.append("*4\r\n$2\r\nid\r\n$4\r\ndata\r\n$20\r\nsheets=2,rep=a:1;b:2\r\n")
+                    .append('$').append(body.length()).append("\r\n").append(body).append("\r\n");
+        }
+        EmbeddedChannel channel = new EmbeddedChannel(new RedisDecoder(), new AnswerDecoder(limits()));
+        List<Object> out = feed(channel, sent.toString().getBytes(StandardCharsets.ISO_8859_1), chance);
+        assertEquals(30, out.size());
+        for (int k = 0; k < 30; k++) {
+            AnswerDecoder.Answer answer = (AnswerDecoder.Answer) out.get(k);
+            assertEquals(List.of("id", "data", Map.of("sheets", "2", "rep", "a:1;b:2"), bodies.get(k)),
+                    List.of(answer.id(), answer.word(), answer.fields(), text(answer.body())));
+        }
+        assertFalse(channel.finish());
+    }
+
+    @Example
+    void anAnswerOfAnotherFormIsMalformed() {
+        for (String text : List.of("+OK\r\n", "*3\r\n", "*-1\r\n", "*4\r\n:1\r\n", "*4\r\n$-1\r\n", "*4\r\n*4\r\n")) {
+            EmbeddedChannel channel = new EmbeddedChannel(new RedisDecoder(), new AnswerDecoder(limits()));
+            assertThrows(CorruptedFrameException.class, () -> channel.writeInbound(
+                    Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII)), text);
+        }
+    }
+
+    @Property(tries = 60, seed = "34")
+    void eventsComeOutWholeWhateverThePieces(@ForAll long seed) {
+        SplittableRandom chance = new SplittableRandom(seed);
+        List<String> seen = new ArrayList<>();
+        EventStream events = new EventStream(1 << 16, (id, data) -> seen.add(id + "|" + data));
+        String end = List.of("\n", "\r\n", "\r").get(chance.nextInt(3));
+        byte[] sent = String.join(end, ": hello", "", "id: 7", "event: odd", "data: {\"a\":", "data:\"\u00e9\"}", "",
+                "", "retry", "data", "", "id:8", "", "data:  x", "", "data: cut off").getBytes(StandardCharsets.UTF_8);
+        for (int at = 0; at < sent.length; ) {
+            int size = Math.min(sent.length - at, 1 + chance.nextInt(12));
+            events.feed(Unpooled.wrappedBuffer(sent, at, size));
+            at += size;
+        }
+        assertEquals(List.of("7|{\"a\":\n\"\u00e9\"}", "7|", "8| x"), seen);
+    }
+
+    @Example
+    void theTableGroupIsTheNumberInTheSchemasName() {
+        Map<String, Long> groups = new java.util.LinkedHashMap<>();
+        groups.put("select * from sales_17.orders", 17L);
+        groups.put("SELECT a_3.x FROM \"sales_5\" . \"or\"\"ders\" AS a_3", 5L);
+        groups.put("select 'from sales_1.t', 'it''s from b_2.t' from sales_3.t", 3L);
+        groups.put("select 1 -- from sales_1.t\nfrom /* x_2.t **/ sales_4.t", 4L);
+        groups.put("insert into staging.copy_9 select * from shop_12.orders", 12L);
+        groups.put("update db.`shop_8`.t set x = 1", 8L);
+        groups.put("truncate shop_6.t", 6L);
+        groups.put("select * from staging.t_1", -1L);
+        groups.put("select orders_17 from sales17.t", -1L);
+        groups.put("select * from s_99999999999999999999.t", -1L);
+        groups.put("select * from _7.t", -1L);
+        groups.put("select 'open from sales_1.t", -1L);
+        groups.put("/* open from sales_1.t", -1L);
+        groups.put("", -1L);
+        groups.forEach((statement, group) -> assertEquals(group,
+                Statement.dataSet(Unpooled.copiedBuffer(statement, StandardCharsets.UTF_8)).value(), statement));
+    }
+}
--- /dev/null
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -0,0 +1,385 @@
+package reedspring.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static reedspring.House.await;
+import static reedspring.House.JournalStandIn.event;
+import static reedspring.House.JournalStandIn.host;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import reedspring.House.Client;
+import reedspring.House.EngineStandIn;
+import reedspring.House.JournalStandIn;
+import reedspring.House.Program;
+
+/** Starts the built program by the deploy file's line and speaks to it over loopback sockets. */
+class FrontIT {
+    private static final int PATIENCE = 5000;
+    private static final int EACH = 12;
+
+    private final List<AutoCloseable> opened = new ArrayList<>();
+    private JournalStandIn journal;
+    private Program front;
+
+    private <T extends AutoCloseable> T open(T what) {
+        opened.add(what);
+        return what;
+    }
+
+    @AfterTry
+    void closeAll() throws Exception {
+        for (AutoCloseable what : opened) {
+            what.close();
+        }
+    }
+
+    private EngineStandIn engine(int pages) throws IOException {
+        return open(new EngineStandIn(EngineStandIn.pages(pages)));
+    }
+
+    private EngineStandIn silentEngine() throws IOException {
+        return open(new EngineStandIn(command -> { }));
+    }
+
+    private Client client() throws IOException {
+        return open(front.client());
+    }
+
+    /** A front that knows these engines, e0 and on. */
+    private void start(EngineStandIn... engines) throws Exception {
+        String[] hosts = new String[engines.length];
+        for (int k = 0; k < hosts.length; k++) {
+            hosts[k] = host("e" + k, engines[k].address(), "ready");
+        }
+        startWith(hosts);
+    }
+
+    private void startWith(String... hosts) throws Exception {
+        journal = open(new JournalStandIn());
+        front = open(new Program(Program.config(Program.freeAddress(), journal.address(),
+                event(1, true, hosts)))).ready();
+    }
+
+    private void serves() throws IOException {
+        String trace = Client.trace();
+        try (Client fresh = front.client()) {
+            String rows = Client.rows(fresh.send(Client.query(1, trace, PATIENCE, "select 1")).read());
+            assertTrue(rows != null && rows.startsWith(EngineStandIn.page(trace, 0)), rows);
+        }
+    }
+
+    @Example
+    void answersHoldAllPagesInOrderAndTheStatementGoesOnUnchanged() throws Exception {
+        EngineStandIn engine = open(new EngineStandIn(command -> {
+            // The pages come back to front.
+            if (command.word().equals("fetch")) {
+                command.answer("data", "sheets=3,toil=3.5,room=12", EngineStandIn.page(command.id(), 0));
+            } else if (command.word().equals("more") && command.words().get(2).equals("2")) {
+                command.answer("page", "sheet=2", EngineStandIn.page(command.id(), 2));
+                command.answer("page", "sheet=2", "a repeat");
+                command.answer("page", "sheet=1", EngineStandIn.page(command.id(), 1));
+            }
+        }));
+        start(engine);
+        String trace = Client.trace();
+        String statement = "select 'it''s' from \"sales_17\".orders";
+        List<?> answer = client().send(Client.query(300, trace, PATIENCE, statement)).read();
+        assertEquals(300L, answer.get(1));
+        assertEquals(EngineStandIn.page(trace, 0) + EngineStandIn.page(trace, 1) + EngineStandIn.page(trace, 2),
+                Client.rows(answer));
+        List<String> fetch = engine.seen("fetch").get(0).words();
+        assertEquals(List.of(trace, statement), List.of(fetch.get(1), fetch.get(3)));
+        assertTrue(fetch.get(2).matches("lane=lookup,ttl=4[0-9]{3}(,urgency=[0-3])?"), fetch.get(2));
+        await("the end of its pages", () -> engine.seen("done").size() == 1);
+    }
+
+    @Example
+    void manyOpenRequestsAreAnsweredInAnyOrderAndMessagesComeInAnyPieces() throws Exception {
+        List<EngineStandIn.Command> waiting = new ArrayList<>();
+        start(open(new EngineStandIn(command -> {
+            waiting.add(0, command);
+            if (waiting.size() == 32) {
+                waiting.forEach(EngineStandIn.pages(1));
+            }
+        })));
+        Client client = client();
+        byte[] all = new byte[0];
+        List<String> traces = new ArrayList<>();
+        for (int id = 1; id <= 32; id++) {
+            traces.add(Client.trace());
+            byte[] next = Client.query(id, traces.get(id - 1), PATIENCE, "select " + id);
+            byte[] joined = java.util.Arrays.copyOf(all, all.length + next.length);
+            System.arraycopy(next, 0, joined, all.length, next.length);
+            all = joined;
+        }
+        SplittableRandom chance = new SplittableRandom(5);
+        for (int at = 0; at < all.length; ) {
+            int size = Math.min(all.length - at, 1 + chance.nextInt(chance.nextInt(5) == 0 ? 2000 : 60));
+            client.send(java.util.Arrays.copyOfRange(all, at, at + size));
+            at += size;
+        }
+        Map<Long, List<?>> answers = client.read(32);
+        for (int id = 1; id <= 32; id++) {
+            assertEquals(EngineStandIn.page(traces.get(id - 1), 0), Client.rows(answers.get((long) id)));
+        }
+    }
+
+    @Example
+    void whatCanNotBeUsedIsAnsweredAndBrokenFramingClosesOnlyItsConnection() throws Exception {
+        EngineStandIn silent = silentEngine();
+        start(silent, silent);
+        Client client = client();
+        client.send(Client.pack(List.of(0, 1, "stroll", List.of(Client.fields(Client.trace(), 99), new byte[0]))),
+                Client.pack(List.of(0, 2, "lookup", List.of(Map.of("trace", "xyz"), new byte[0]))),
+                Client.pack(List.of(0, 3, "lookup", List.of(7))), Client.pack(List.of(0, 4, "lookup")),
+                Client.pack(List.of(2, "weather", List.of("rain"))), Client.pack(List.of(1, 5, "no question")),
+                Client.query(6, Client.trace(), 400, "open"), Client.query(6, Client.trace(), 400, "again"),
+                Client.pack(List.of(0, 7, "heartbeat", List.of(Map.of("novel", 1)))));
+        for (long id : new long[] {1, 2, 3, 4, 6}) {
+            List<?> answer = client.read();
+            assertEquals(List.of(id, "Fault"), List.of(answer.get(1), Client.error(answer)));
+        }
+        assertEquals(List.of(true, List.of()), client.read().get(3));
+        assertEquals("Shed", Client.error(client.read()));
+        assertTrue(client().send(new byte[] {(byte) 0xc1}).ended());
+        assertTrue(client().send(new byte[] {(byte) 0xc6, 127, 0, 0, 0}).ended(), "a message over the limit");
+        assertTrue(client().send(Client.pack(List.of(0, "one", "lookup", List.of()))).ended(), "no id");
+        SplittableRandom chance = new SplittableRandom(11);
+        for (int k = 0; k < 60; k++) {
+            byte[] noise = new byte[1 + chance.nextInt(400)];
+            chance.nextBytes(noise);
+            open(front.client()).send(noise).close();
+        }
+        assertEquals(List.of(true, List.of()),
+                client.send(Client.pack(List.of(0, 8, "heartbeat", List.of(Map.of())))).read().get(3));
+        assertTrue(front.logged("client connection closed, broken framing"));
+        assertTrue(front.log.size() < 12, front.log::toString);
+    }
+
+    @Example
+    void aRevokedQueryGetsNoAnswerAndItsLateResultIsDropped() throws Exception {
+        List<EngineStandIn.Command> held = new java.util.concurrent.CopyOnWriteArrayList<>();
+        EngineStandIn engine = open(new EngineStandIn(command -> {
+            if (command.word().equals("fetch") && command.words().get(3).equals("late")) {
+                held.add(command);
+            } else {
+                EngineStandIn.pages(1).accept(command);
+            }
+        }));
+        start(engine);
+        Client client = client();
+        byte[] revoke = Client.pack(List.of(2, "revoke", List.of(1)));
+        client.send(revoke, Client.query(1, Client.trace(), PATIENCE, "late"));
+        await("the query at the engine", () -> held.size() == 1);
+        client.send(revoke, revoke);
+        // The connection's later messages show that the revoke has been read before the result comes.
+        client.send(Client.query(2, Client.trace(), PATIENCE, "select 2"));
+        assertEquals(2L, client.read().get(1));
+        held.get(0).answer("data", "sheets=4", "row\n");
+        await("that no more pages are wanted", () -> engine.seen("done").size() == 1);
+        client.send(Client.query(3, Client.trace(), PATIENCE, "select 3"));
+        assertEquals(3L, client.read().get(1));
+        assertTrue(engine.seen("more").isEmpty() && engine.seen("abort").isEmpty());
+    }
+
+    @Example
+    void afterARefusedConnectOrAResetAnotherEngineServes() throws Exception {
+        EngineStandIn resets = open(new EngineStandIn(command -> {
+            try {
+                command.from().setSoLinger(true, 0);
+                command.from().close();
+            } catch (IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+        }));
+        startWith(host("dead", Program.freeAddress(), "ready"), host("resets", resets.address(), "ready"),
+                host("odd", open(new EngineStandIn(c -> c.answerRaw("+PONG\r\n"))).address(), "ready"),
+                host("good", engine(1).address(), "ready"));
+        Client client = client();
+        int served = 0;
+        for (int id = 1; id <= 24; id++) {
+            served += Client.rows(client.send(Client.query(id, Client.trace(), PATIENCE, "select")).read())
+                    == null ? 0 : 1;
+        }
+        assertTrue(served >= 18, served + " of 24, three submissions each and three engines of four bad");
+        assertTrue(front.logged("engine unreachable") && front.logged("malformed answer"), front.log::toString);
+        serves();
+    }
+
+    @Example
+    void aSilentEngineHoldsUpNoOtherAndItsQueriesEndInTime() throws Exception {
+        EngineStandIn silent = silentEngine();
+        EngineStandIn good = engine(1);
+        start(silent, good);
+        Client client = client();
+        for (int id = 1; id <= 16; id++) {
+            client.send(Client.query(id, Client.trace(), 1200, "select"));
+        }
+        long sent = System.nanoTime();
+        Map<Long, List<?>> answers = client.read(16);
+        long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sent);
+        assertTrue(took < 1200 + 70, took + " ms");
+        assertTrue(answers.values().stream().anyMatch(answer -> Client.rows(answer) != null));
+        assertTrue(answers.values().stream().allMatch(a -> a.get(2) == null || "Shed".equals(Client.error(a))));
+        assertTrue(silent.seen.size() + good.seen("fetch").size() >= 16);
+        assertTrue(silent.seen("abort").isEmpty(), "cancels are not allowed");
+        assertEquals(1, silent.accepted.size(), "nor by closing");
+        assertFalse(silent.accepted.get(0).isClosed());
+    }
+
+    @Example
+    void anEngineThatEndsWithPagesMissingServesNothing() throws Exception {
+        EngineStandIn engine = open(new EngineStandIn(command -> {
+            if (command.word().equals("fetch")) {
+                command.answer("data", "sheets=2", "half\n");
+            } else if (command.word().equals("more")) {
+                command.answer("failed", "-", "");
+            }
+        }));
+        start(engine);
+        List<?> answer = client().send(Client.query(1, Client.trace(), 1000, "select")).read();
+        assertNull(Client.rows(answer));
+        assertEquals(3, engine.seen("fetch").size(), "all submissions were made");
+    }
+
+    @Example
+    void theJournalIsResumedByNumberAndWhatItSaysWrongKeepsTheList() throws Exception {
+        EngineStandIn first = engine(1);
+        EngineStandIn second = engine(1);
+        startWith(host("e0", first.address(), "ready"));
+        await("the call", () -> journal.calledFrom.equals(List.of("1")));
+        String two = "id: 2\r\n: a comment\r\ndata: " + event(2, false, host("e1", second.address(), "ready"))
+                + "\r\n\r\n";
+        journal.send("id: 1\ndata: " + event(1, true) + "\n\n" + two.substring(0, 40));
+        journal.send(two.substring(40));
+        await("the second engine in use", () -> {
+            try {
+                serves();
+            } catch (IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+            return !second.seen.isEmpty();
+        });
+        journal.send("id: 3\ndata: {\"pos\":3,\"hosts\":{\"hosts\":[{\"host\":\"e0\"}]}}\n\n");
+        await("the second call", () -> journal.calledFrom.equals(List.of("1", "2")));
+        assertTrue(front.logged("journal event malformed"));
+        journal.send("id: 9\ndata: " + event(9, false, host("e0", first.address(), "gone")) + "\n\n");
+        await("a call for what is missing", () -> journal.calledFrom.equals(List.of("1", "2", "2")));
+        serves();
+        journal.reset();
+        await("the next call", () -> journal.calledFrom.size() == 4);
+        // A new engine has the address of one that has gone.
+        journal.send("id: 3\ndata: " + event(3, true, host("e1", second.address(), "gone"),
+                host("e2", second.address(), "ready")) + "\n\n");
+        int before = first.seen.size();
+        await("the new engine's own connection", () -> {
+            try {
+                serves();
+            } catch (IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+            return second.accepted.size() == 2;
+        });
+        assertTrue(first.seen.size() <= before + 1, "the first is not listed any more");
+    }
+
+    @Example
+    void onSigtermItServesOnAnswersAllAndEndsWithZero() throws Exception {
+        EngineStandIn engine = open(new EngineStandIn(command -> {
+            if (!command.words().get(command.words().size() - 1).equals("slow")) {
+                EngineStandIn.pages(1).accept(command);
+            }
+        }));
+        start(engine);
+        Client client = client();
+        client.send(Client.query(1, Client.trace(), 9000, "slow"));
+        await("the query at the engine", () -> engine.seen("fetch").size() == 1);
+        long term = System.nanoTime();
+        front.process.toHandle().destroy();
+        await("its leaving", () -> front.logged("leaving"));
+        serves();
+        assertEquals(List.of(false, List.of()),
+                client.send(Client.pack(List.of(0, 2, "heartbeat", List.of(Map.of())))).read().get(3));
+        List<?> answer = client.read();
+        assertEquals(1L, answer.get(1));
+        assertNotEquals(null, Client.error(answer));
+        assertTrue(front.process.waitFor(10, TimeUnit.SECONDS));
+        assertEquals(0, front.process.exitValue());
+        assertTrue(System.nanoTime() - term < 3_700_000_000L, "SIGKILL would have come");
+    }
+
+    /** Floods of connections, of large statements and of answers that nobody reads. */
+    @Example
+    void theLimitsHoldUnderAFlood() throws Exception {
+        start(engine(7), engine(7));
+        String large = "x".repeat(200_000);
+        List<Client> deaf = new ArrayList<>();
+        for (int k = 0; k < 300; k++) {
+            Client client = client();
+            client.socket.setReceiveBufferSize(1 << 16);
+            deaf.add(client);
+            for (int id = 1; id <= EACH; id++) {
+                client.send(Client.query(id, Client.trace(), 3000, id == 1 && k < 60 ? large : "select"));
+            }
+        }
+        for (int k = 0; k < 400; k++) {
+            client();
+        }
+        Path proc = Path.of("/proc", Long.toString(front.process.pid()));
+        await("an answer past the flood", () -> {
+            try (Client fresh = front.client()) {
+                return Client.rows(fresh.send(Client.query(1, Client.trace(), 3000, "select")).read()) != null;
+            } catch (IOException e) {
+                return false;
+            }
+        });
+        for (Client client : deaf) {
+            Map<Long, List<?>> answers = client.read(EACH);
+            assertTrue(answers.values().stream().allMatch(a -> Client.rows(a) != null
+                    && Client.rows(a).length() > 40_000 || List.of("Shed", "Fault").contains(Client.error(a))));
+        }
+        long peakKb = Files.readAllLines(proc.resolve("status")).stream().filter(l -> l.startsWith("VmHWM"))
+                .mapToLong(l -> Long.parseLong(l.replaceAll("\\D", ""))).sum();
+        try (var held = Files.list(proc.resolve("fd"))) {
+            assertTrue(held.count() < 1024);
+        }
+        System.out.println("flood: peak " + peakKb / 1024 + " MB");
+        assertTrue(peakKb < 192 * 1024, peakKb + " kB");
+        assertTrue(front.log.size() < 40, front.log::toString);
+        serves();
+    }
+
+    @Example
+    void aConfigurationThatCanNotBeUsedEndsItWithTheFieldsName() throws Exception {
+        String good = Program.config("127.0.0.1:1", "127.0.0.1:2");
+        Map<String, String> bad = Map.of("RELAY_CONFIG", "{", "journal", Program.config("127.0.0.1:1", null),
+                "listen", Program.config("here", "127.0.0.1:2"), "seed", good.replace("8c1f30d27a5be964", "?"),
+                "settings", good.replace("\"settings\"", "\"other\""),
+                "known.entries", good.replace("[],\"settings\"", "7,\"settings\"").replace("[]},", "7},"),
+                "classes.0.aimMs", good.replace("900.0", "\"soon\""));
+        for (Map.Entry<String, String> each : bad.entrySet()) {
+            Program program = open(new Program(each.getValue()));
+            assertTrue(program.process.waitFor(20, TimeUnit.SECONDS));
+            assertEquals(78, program.process.exitValue());
+            await("its message", () -> program.logged("configuration: " + each.getKey() + ": "));
+            assertEquals(1, program.log.size(), program.log::toString);
+        }
+        JournalStandIn taken = open(new JournalStandIn());
+        Program second = open(new Program(Program.config(taken.address(), taken.address())));
+        assertTrue(second.process.waitFor(20, TimeUnit.SECONDS));
+        assertEquals(69, second.process.exitValue(), second.log::toString);
+        await("its message", () -> second.logged("listen: "));
+    }
+}
