--- a/src/main/java/reedspring/net/EngineConnection.java
+++ b/src/main/java/reedspring/net/EngineConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.redis.RedisDecoder;
 import io.netty.handler.codec.redis.RedisEncoder;
 import io.netty.handler.codec.redis.RedisMessage;
+import io.netty.handler.flush.FlushConsolidationHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -49,7 +50,8 @@
         ChannelFuture dialled = dialer.clone().handler(new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel made) {
-                made.pipeline().addLast(new RedisEncoder(), new RedisDecoder(), new AnswerDecoder(limits), self);
+                made.pipeline().addLast(new FlushConsolidationHandler(limits.flushes(), true), new RedisEncoder(), new RedisDecoder(),
+                        new AnswerDecoder(limits), self);
             }
         }).connect(address);
         channel = dialled.channel();
--- a/src/main/java/reedspring/net/Limits.java
+++ b/src/main/java/reedspring/net/Limits.java
@@ -9,13 +9,14 @@
  *
  * @param heldBytes statements and answers held at once; past it new queries are turned away
  * @param socketBytes what the kernel may hold for one client each way, as it counts against the front's memory
+ * @param flushes what one turn of the loop has for a connection goes out in one write, up to so many messages
  * @param unsentBytes of one client, past which it is not read from until it has read
  */
 record Limits(int clientConnections, int clientQueries, int clientIdle, int messageBytes, int messageValues,
               int queries, long heldBytes, int unsentBytes, int socketBytes, int answerBytes, int pageBytes, int pages,
               int engineConnections, int connectionQueries, int connectTimeout, int engineIdle,
               int journalSilence, int journalFirstWait, int journalLongestWait, int journalBytes,
-              int leavingQuiet, int leavingLongest, int comeBack, int logEvery) {
+              int leavingQuiet, int leavingLongest, int comeBack, int logEvery, int flushes) {
 
     static Limits of(Boot boot, int sockets) throws BootException {
         return new Limits(Math.max(8, sockets / 2), 32, 60_000, 1 << 18, 256,
@@ -24,6 +25,6 @@
                 (int) boot.number("allowed.connectTimeoutMs", 1000),
                 (int) (boot.number("allowed.idleCloseMs", 30_000) * 0.8),
                 3_000, 50, 1_000, 1 << 20,
-                800, 3_400, (int) boot.number("allowed.maxRetryAfterMs", 0), 10_000);
+                800, 3_400, (int) boot.number("allowed.maxRetryAfterMs", 0), 10_000, 256);
     }
 }
--- a/src/main/java/reedspring/net/Startup.java
+++ b/src/main/java/reedspring/net/Startup.java
@@ -12,6 +12,7 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -113,7 +114,8 @@
                     @Override
                     protected void initChannel(Channel made) {
                         ClientConnection client = new ClientConnection(front);
-                        made.pipeline().addLast(new RpcDecoder(limits), client);
+                        made.pipeline().addLast(new FlushConsolidationHandler(limits.flushes(), true),
+                                new RpcDecoder(limits), client);
                         if (!front.came(client)) {
                             made.close();
                         }
--- a/src/test/java/reedspring/House.java
+++ b/src/test/java/reedspring/House.java
@@ -25,6 +25,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -550,12 +551,14 @@
         public final String listen;
 
         public Program(String config) throws IOException {
+            this(config, run());
+        }
+
+        private Program(String config, String run) throws IOException {
             this.listen = config.replaceAll(".*\"listen\":\"([^\"]*)\".*", "$1");
             Path file = Files.createTempFile("reedspring", ".json");
             file.toFile().deleteOnExit();
             Files.writeString(file, config);
-            String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
-                    .filter(line -> line.startsWith("run =")).findFirst().orElseThrow().split("\"")[1];
             ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run).redirectErrorStream(true);
             builder.environment().put("RELAY_CONFIG", file.toString());
             process = builder.start();
@@ -568,6 +571,11 @@
             });
         }
 
+        private static String run() throws IOException {
+            return Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                    .filter(line -> line.startsWith("run =")).findFirst().orElseThrow().split("\"")[1];
+        }
+
         public Program ready() throws InterruptedException {
             await("the front to serve", () -> logged("serves on") || !process.isAlive());
             require(process.isAlive(), "the front ended: " + log, null);
@@ -751,4 +759,33 @@
             };
         }
     }
+
+    /**
+     * Part of the build: plays a short day round the program while the JVM notes the classes that it loads, and
+     * leaves them as an archive from which a front starts in half the time. A front needs no archive, so a
+     * machine on which this fails still has its build.
+     */
+    public static void main(String[] args) throws Exception {
+        try (JournalStandIn journal = new JournalStandIn();
+                EngineStandIn good = new EngineStandIn(EngineStandIn.pages(3));
+                EngineStandIn odd = new EngineStandIn(command -> command.answerRaw("+PONG\r\n"));
+                Program program = new Program(Program.config(Program.freeAddress(), journal.address(),
+                        JournalStandIn.event(1, true, JournalStandIn.host("e0", good.address(), "ready"),
+                                JournalStandIn.host("e1", odd.address(), "ready"),
+                                JournalStandIn.host("e2", Program.freeAddress(), "ready"))),
+                        Program.run().replace("-XX:SharedArchiveFile=", "-XX:ArchiveClassesAtExit="));
+                Client client = program.ready().client()) {
+            await("the call", () -> !journal.calledFrom.isEmpty());
+            journal.send("id: 2\ndata: " + JournalStandIn.event(2, false,
+                    JournalStandIn.host("e1", odd.address(), "draining")) + "\n\n");
+            client.send(Client.pack(List.of(0, 1, "heartbeat", List.of(Map.of())))).read();
+            for (int id = 2; id < 200; id++) {
+                client.send(Client.query(id, Client.trace(), 2000, "select 'a' from sales_17.orders -- b")).read();
+            }
+            program.process.toHandle().destroy();
+            require(program.process.waitFor(PATIENCE_S, TimeUnit.SECONDS), "the front stays", null);
+        } catch (IOException | AssertionError e) {
+            System.err.println("no class archive: " + e);
+        }
+    }
 }
