Leave doubtful connections for new ones; pass over large requests there is no room for

A connection that owes answers and says nothing for 1 s is asked whether it works; with no answer in the time that a connect may take, new submissions go to a new one. Clients that take nothing for 10 s are cut off, and while results wait unread theirs are replaced by an error.

--- a/src/main/java/reedspring/net/ClientConnection.java
+++ b/src/main/java/reedspring/net/ClientConnection.java
@@ -15,13 +15,26 @@
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     private final Front front;
     private final Map<Long, OpenQuery> open = new HashMap<>();
+    private final RpcDecoder decoder;
     private ChannelHandlerContext channel;
     private long lastUsedAt;
     private long deafSince = Long.MAX_VALUE;
+    private long unsentBytes;
+    private long sentAt;
 
     ClientConnection(Front front) {
         this.front = front;
+        this.decoder = new RpcDecoder(front.limits(), front::piece);
         this.lastUsedAt = front.clock().now();
+        this.sentAt = lastUsedAt;
+    }
+
+    boolean midway() {
+        return decoder.midway();
+    }
+
+    RpcDecoder decoder() {
+        return decoder;
     }
 
     @Override
@@ -34,6 +47,8 @@
         lastUsedAt = front.clock().now();
         if (message instanceof RpcDecoder.Call call) {
             take(call);
+        } else if (message instanceof RpcDecoder.Refused refused) {
+            turnAway(refused.id());
         } else if (message instanceof RpcDecoder.Notice notice && notice.method().equals("revoke")) {
             OpenQuery q = open.remove(notice.id());
             if (q != null) {
@@ -69,7 +84,17 @@
         }
     }
 
+    /** Whether it takes what is sent to it. */
+    boolean reads() {
+        return channel.channel().isWritable();
+    }
+
     void rows(OpenQuery q, List<ByteBuf> pages) {
+        if (front.full() && !reads()) {
+            // It has an answer all the same, and a small one.
+            kill(q, "results wait unread");
+            return;
+        }
         open.remove(q.messageId);
         lastUsedAt = front.clock().now();
         int length = pages.stream().mapToInt(ByteBuf::readableBytes).sum();
@@ -104,13 +129,36 @@
         channel.writeAndFlush(RpcWriter.error(channel.alloc(), id, "Fault", "say", why));
     }
 
+    long lastUsedAt() {
+        return lastUsedAt;
+    }
+
     boolean idleSince(long time) {
         return open.isEmpty() && lastUsedAt < time && !unsent();
     }
 
     boolean unsent() {
+        return pending() > 0;
+    }
+
+    private long pending() {
         ChannelOutboundBuffer out = channel.channel().unsafe().outboundBuffer();
-        return out != null && out.totalPendingWriteBytes() > 0;
+        return out == null ? 0 : out.totalPendingWriteBytes();
+    }
+
+    /** Cuts off a client that takes nothing any more: what waits for it takes the place of others' answers. */
+    void tick(long now) {
+        long waits = pending();
+        if (waits == 0 || waits < unsentBytes) {
+            sentAt = now;
+        }
+        unsentBytes = waits;
+        if (now - sentAt >= front.limits().clientStall() * 10L) {
+            front.log().line("client connection closed, it does not read", waits + " bytes wait");
+            close();
+        } else if (idleSince(now - front.limits().clientIdle() * 10L)) {
+            close();
+        }
     }
 
     void close() {
--- a/src/main/java/reedspring/net/EngineConnection.java
+++ b/src/main/java/reedspring/net/EngineConnection.java
@@ -36,6 +36,8 @@
     private boolean up;
     private boolean retired;
     private long lastUsedAt;
+    private long heardAt;
+    private long askedAt = -1;
 
     EngineConnection(Front front, Limits limits, String engine, Consumer<EngineConnection> ended) {
         this.front = front;
@@ -71,9 +73,20 @@
                 && (channel == null || !up || channel.isWritable());
     }
 
+    /**
+     * Asked and without an answer for as long as a new connection would have to come up. What was sent before a
+     * cut comes only with the kernel's next try, long after its end, and all that is sent later waits behind it.
+     */
+    boolean doubtful() {
+        return askedAt >= 0 && front.clock().now() - askedAt >= limits.connectTimeout() * 10L;
+    }
+
     void send(Submission s) {
         s.connection = this;
         open.put(s.query.trace, s);
+        if (open.size() == 1) {
+            heardAt = front.clock().now();
+        }
         if (up) {
             write(s);
         }
@@ -127,6 +140,10 @@
         if (open.isEmpty() && now - lastUsedAt >= limits.engineIdle() * 10L) {
             close();
         }
+        if (up && !open.isEmpty() && askedAt < 0 && now - heardAt >= limits.engineSilence() * 10L) {
+            askedAt = now;
+            command(null, "alive", "front");
+        }
     }
 
     private void close() {
@@ -155,6 +172,8 @@
                 return;
             }
             lastUsedAt = front.clock().now();
+            heardAt = lastUsedAt;
+            askedAt = -1;
             Submission s = open.get(answer.id());
             switch (answer.word()) {
                 case "data" -> data(s, answer);
@@ -189,7 +208,8 @@
             throw new CorruptedFrameException("a result of " + sheets + " pages");
         }
         if (s == null || s.pages != null) {
-            if (s == null && sheets > 1) {
+            // An engine that sends and does not read gets no more than its buffer holds.
+            if (s == null && sheets > 1 && channel.isWritable()) {
                 command(null, "done", answer.id());
             }
             return;
@@ -207,7 +227,7 @@
             front.closed(s, Outcome.FINISHED);
             return;
         }
-        if (s.pages.length > 1 && front.full()) {
+        if (s.pages.length > 1 && front.full() && !s.query.client.reads()) {
             front.log().line("result given up, answers at their limit", engine);
             front.closed(s, Outcome.FINISHED);
             return;
--- a/src/main/java/reedspring/net/Engines.java
+++ b/src/main/java/reedspring/net/Engines.java
@@ -59,14 +59,20 @@
             front.closed(s, Event.Outcome.UNREACHABLE);
             return;
         }
-        for (EngineConnection connection : link.connections) {
-            if (connection.takes(s)) {
-                connection.send(s);
-                return;
-            }
-        }
-        if (link.connections.size() >= limits.engineConnections()) {
+        List<EngineConnection> open = link.connections.stream().filter(c -> c.takes(s)).toList();
+        EngineConnection best = open.stream().filter(c -> !c.doubtful()).findFirst().orElse(null);
+        boolean mayDial = link.connections.size() < limits.engineConnections()
+                && links.values().stream().mapToInt(l -> l.connections.size()).sum()
+                        < limits.allEngineConnections();
+        if (best == null && !mayDial) {
             front.log().line("engine connections at their limit", engine.address());
+            best = open.isEmpty() ? null : open.get(0);
+        }
+        if (best != null) {
+            best.send(s);
+            return;
+        }
+        if (!mayDial) {
             front.closed(s, Event.Outcome.UNREACHABLE);
             return;
         }
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -1,14 +1,15 @@
 package reedspring.net;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.regex.Pattern;
 import reedspring.Control;
 import reedspring.api.Action;
 import reedspring.api.Event;
@@ -22,7 +23,8 @@
  * queries and their submissions; what an action brings about at once comes back as an event after it.
  */
 final class Front {
-    private static final long TICK = 10_000;
+    private static final long TICK = 2_500;
+    private static final Pattern TRACE = Pattern.compile("[0-9a-fA-F]{16}");
     /** Past a query's time before the front itself answers; the rules allow a little more. */
     private static final long LAST_RESORT = 100;
     private static final double LONGEST_PATIENCE = 1e9;
@@ -98,7 +100,8 @@
         if (clients.size() >= limits.clientConnections()) {
             long now = clock.now();
             log.line("client connections at their limit", Integer.toString(clients.size()));
-            ClientConnection idle = clients.stream().filter(c -> c.idleSince(now)).findFirst().orElse(null);
+            ClientConnection idle = clients.stream().filter(c -> c.idleSince(now) && !c.midway())
+                    .min(Comparator.comparingLong(ClientConnection::lastUsedAt)).orElse(null);
             if (idle == null) {
                 return false;
             }
@@ -124,7 +127,7 @@
         String trace = fields.get("trace");
         if (group == null) {
             fault = "no such method";
-        } else if (trace == null || !trace.matches("[0-9a-fA-F]{16}")) {
+        } else if (trace == null || !TRACE.matcher(trace).matches()) {
             fault = "trace: 16 hex digits are wanted";
         } else if (!(patience >= 0) || !fields.containsKey("patience")) {
             fault = "patience: milliseconds are wanted";
@@ -202,6 +205,12 @@
         held += bytes;
     }
 
+    /** For what has come of a request so far; true if there is room for it. */
+    boolean piece(int more) {
+        held += more;
+        return held <= limits.heldBytes();
+    }
+
     boolean full() {
         return held > limits.heldBytes();
     }
@@ -344,8 +353,7 @@
         timers.in(TICK, this::tick);
         long now = clock.now();
         engines.tick(now);
-        clients.stream().filter(c -> c.idleSince(now - limits.clientIdle() * 10L)).toList()
-                .forEach(ClientConnection::close);
+        List.copyOf(clients).forEach(client -> client.tick(now));
         if (now >= sumAt) {
             sumAt = now + limits.logEvery() * 10L;
             log.sum();
--- a/src/main/java/reedspring/net/Log.java
+++ b/src/main/java/reedspring/net/Log.java
@@ -15,19 +15,23 @@
     }
 
     void line(String kind, String detail) {
-        int[] count = seen.size() < KINDS ? seen.computeIfAbsent(kind, k -> new int[1]) : seen.get(kind);
-        if (count != null && count[0]++ == 0) {
+        if (count(kind)[0]++ == 0) {
             Logger.warn(detail.isEmpty() ? kind : kind + ": " + printable(detail));
         }
     }
 
     void fault(String kind, Throwable cause) {
-        int[] count = seen.size() < KINDS ? seen.computeIfAbsent(kind, k -> new int[1]) : seen.get(kind);
-        if (count != null && count[0]++ == 0) {
+        if (count(kind)[0]++ == 0) {
             Logger.error(cause, kind);
         }
     }
 
+    /** Kinds name engines, too, so that their number has to be bounded as well. */
+    private int[] count(String kind) {
+        return seen.computeIfAbsent(seen.size() < KINDS || seen.containsKey(kind) ? kind : "lines of other kinds",
+                k -> new int[1]);
+    }
+
     /** Ends a span. */
     void sum() {
         seen.forEach((kind, count) -> {
--- a/src/main/java/reedspring/net/RpcDecoder.java
+++ b/src/main/java/reedspring/net/RpcDecoder.java
@@ -18,12 +18,29 @@
 final class RpcDecoder extends ByteToMessageDecoder {
     private static final int REQUEST = 0;
     private static final int NOTICE = 2;
+    private static final int SMALL = 4096;
+    private static final int REQUEST_PARTS = 4;
 
     private final Limits limits;
+    private final Pieces pieces;
     private int budget;
+    private int unfinished;
+    private long lacking;
+    private long discards;
+    private long refused;
 
-    RpcDecoder(Limits limits) {
+    /** Who counts the bytes of all unfinished messages, and says whether there is room for more. */
+    interface Pieces {
+        boolean hold(int more);
+    }
+
+    RpcDecoder(Limits limits, Pieces pieces) {
         this.limits = limits;
+        this.pieces = pieces;
+    }
+
+    /** A request that was passed over as it came, since there was no room for it. */
+    record Refused(long id) {
     }
 
     /** A request; {@code fault} tells why it can't be used, null if it can. The body is the receiver's. */
@@ -35,7 +52,17 @@
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+        if (discards > 0) {
+            int passed = (int) Math.min(discards, in.readableBytes());
+            in.skipBytes(passed);
+            discards -= passed;
+            if (discards == 0) {
+                out.add(new Refused(refused));
+            }
+            return;
+        }
         int start = in.readerIndex();
+        lacking = 0;
         budget = limits.messageValues();
         boolean whole = pass(in, 1);
         int length = in.readerIndex() - start;
@@ -44,14 +71,48 @@
             throw new TooLongFrameException("a message over " + limits.messageBytes() + " bytes");
         }
         if (!whole) {
+            if (!unfinished(in.readableBytes()) && in.readableBytes() > SMALL) {
+                refuse(in);
+            }
             return;
         }
+        unfinished(0);
         Object message = message(in.readSlice(length));
         if (message != null) {
             out.add(message);
         }
     }
 
+    private boolean unfinished(int bytes) {
+        int more = bytes - unfinished;
+        unfinished = bytes;
+        return pieces.hold(more) || more <= 0;
+    }
+
+    /** Its sender may hold it for taken already: the rest is passed over, and it gets its answer. */
+    private void refuse(ByteBuf in) {
+        int start = in.readerIndex();
+        refused = arrayHeader(in) == REQUEST_PARTS && whole(in) == REQUEST ? whole(in) : -1;
+        if (refused < 0 || lacking == 0) {
+            in.readerIndex(start);
+            throw new TooLongFrameException("no room for a message of this form");
+        }
+        in.readerIndex(in.writerIndex());
+        discards = lacking;
+        unfinished(0);
+    }
+
+    /** Whether a message has come in part. */
+    boolean midway() {
+        return unfinished > 0 || discards > 0;
+    }
+
+    @Override
+    protected void handlerRemoved0(ChannelHandlerContext ctx) {
+        pieces.hold(-unfinished);
+        unfinished = 0;
+    }
+
     /**
      * Passes {@code count} values; false if they have not come whole. A message in pieces is measured anew with
      * each, which the limit on values keeps cheap.
@@ -73,7 +134,7 @@
             } else if (type <= 0x9f) {
                 left += type & 0xf;
             } else if (type <= 0xbf) {
-                if (!skip(in, type & 0x1f)) {
+                if (!skip(in, type & 0x1f, left)) {
                     return false;
                 }
             } else if (type == 0xc1) {
@@ -91,7 +152,7 @@
                                 + " values");
                     }
                 } else if (!skip(in, size == 0 || type >= 0xca && type <= 0xd3 ? fixed(type)
-                        : type >= 0xc7 && type <= 0xc9 ? length + 1 : length)) {
+                        : type >= 0xc7 && type <= 0xc9 ? length + 1 : length, left)) {
                     return false;
                 }
             }
@@ -99,11 +160,12 @@
         return true;
     }
 
-    private boolean skip(ByteBuf in, long length) {
+    private boolean skip(ByteBuf in, long length, long left) {
         if (length > limits.messageBytes()) {
             throw new TooLongFrameException("a message over " + limits.messageBytes() + " bytes");
         }
         if (in.readableBytes() < length) {
+            lacking = left == 1 ? length - in.readableBytes() : 0;
             return false;
         }
         in.skipBytes((int) length);
@@ -158,7 +220,7 @@
         if (id < 0) {
             throw new CorruptedFrameException("a request without an id");
         }
-        String method = size == 4 ? text(in) : null;
+        String method = size == REQUEST_PARTS ? text(in) : null;
         if (method == null) {
             return new Call(id, "", Map.of(), null, "a request is [0, id, method, params]");
         }
--- a/src/main/java/reedspring/net/Startup.java
+++ b/src/main/java/reedspring/net/Startup.java
@@ -23,6 +23,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import org.tinylog.provider.ProviderRegistry;
 import reedspring.boot.Boot;
 import reedspring.boot.BootException;
 
@@ -31,6 +32,7 @@
     private static final int UNUSABLE = 78;
     private static final int UNAVAILABLE = 69;
     private static final int LEAST_SOCKETS = 64;
+    private static final long LOG_CLOSING_MS = 100;
 
     private Startup() {
     }
@@ -95,12 +97,25 @@
         loop.execute(() -> front.leave(left::countDown));
         try {
             left.await();
+            // The last lines, unless nobody takes the log any more.
+            Thread closing = new Thread(Startup::closeLog);
+            closing.setDaemon(true);
+            closing.start();
+            closing.join(LOG_CLOSING_MS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
         Runtime.getRuntime().halt(0);
     }
 
+    private static void closeLog() {
+        try {
+            ProviderRegistry.getLoggingProvider().shutdown();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static ServerBootstrap server(EventLoopGroup group, Front front, Limits limits) {
         return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 1024)
@@ -115,7 +130,7 @@
                     protected void initChannel(Channel made) {
                         ClientConnection client = new ClientConnection(front);
                         made.pipeline().addLast(new FlushConsolidationHandler(limits.flushes(), true),
-                                new RpcDecoder(limits), client);
+                                client.decoder(), client);
                         if (!front.came(client)) {
                             made.close();
                         }
--- a/src/test/java/reedspring/net/CodecTest.java
+++ b/src/test/java/reedspring/net/CodecTest.java
@@ -65,7 +65,7 @@
     @Property(tries = 60, seed = "31")
     void requestsComeOutWholeWhateverThePieces(@ForAll long seed) {
         SplittableRandom chance = new SplittableRandom(seed);
-        EmbeddedChannel channel = new EmbeddedChannel(new RpcDecoder(limits()));
+        EmbeddedChannel channel = new EmbeddedChannel(new RpcDecoder(limits(), more -> true));
         List<byte[]> sent = new ArrayList<>();
         List<String> statements = new ArrayList<>();
         for (int id = 0; id < 20; id++) {
@@ -102,7 +102,7 @@
             }
             noise = request;
         }
-        quiet(new EmbeddedChannel(new RpcDecoder(limits())), noise, chance);
+        quiet(new EmbeddedChannel(new RpcDecoder(limits(), more -> true)), noise, chance);
         quiet(new EmbeddedChannel(new RedisDecoder(), new AnswerDecoder(limits())), noise, chance);
         Statement.dataSet(Unpooled.wrappedBuffer(noise));
         new EventStream(1000, (id, data) -> assertTrue(data.length() <= 1000)).feed(
@@ -127,18 +127,29 @@
     void aMessageOverALimitIsRefusedBeforeItHasCome() {
         for (byte[] head : List.of(new byte[] {(byte) 0xc6, 0, 16, 0, 0}, new byte[] {(byte) 0xdd, 0, 1, 0, 0},
                 new byte[] {(byte) 0xdf, 127, -1, -1, -1}, new byte[] {(byte) 0xc1})) {
-            EmbeddedChannel channel = new EmbeddedChannel(new RpcDecoder(limits()));
+            EmbeddedChannel channel = new EmbeddedChannel(new RpcDecoder(limits(), more -> true));
             assertThrows(DecoderException.class, () -> channel.writeInbound(Unpooled.wrappedBuffer(head)));
         }
         byte[] deep = new byte[300];
         java.util.Arrays.fill(deep, (byte) 0x91);
-        EmbeddedChannel channel = new EmbeddedChannel(new RpcDecoder(limits()));
+        EmbeddedChannel channel = new EmbeddedChannel(new RpcDecoder(limits(), more -> true));
         assertThrows(DecoderException.class, () -> channel.writeInbound(Unpooled.wrappedBuffer(deep)));
         EmbeddedChannel engine = new EmbeddedChannel(new RedisDecoder(), new AnswerDecoder(limits()));
         assertThrows(DecoderException.class, () -> engine.writeInbound(Unpooled.copiedBuffer(
                 "*4\r\n$1\r\na\r\n$4\r\ndata\r\n$1\r\n-\r\n$6001\r\n", StandardCharsets.US_ASCII)));
     }
 
+    /** Where there is no room, a large request is passed over and named; what follows it is read as ever. */
+    @Property(tries = 40, seed = "35")
+    void whatThereIsNoRoomForIsPassedOver(@ForAll long seed) {
+        SplittableRandom chance = new SplittableRandom(seed);
+        EmbeddedChannel channel = new EmbeddedChannel(new RpcDecoder(limits(), more -> more <= 0));
+        byte[] sent = joined(List.of(Client.query(1, Client.trace(), 5, "s".repeat(30_000)),
+                Client.pack(List.of(2, "revoke", List.of(9)))));
+        assertEquals(List.of(new RpcDecoder.Refused(1), new RpcDecoder.Notice("revoke", 9)),
+                feed(channel, sent, chance));
+    }
+
     @Property(tries = 60, seed = "33")
     void answersOfEnginesComeOutWholeWhateverThePieces(@ForAll long seed) {
         SplittableRandom chance = new SplittableRandom(seed);
--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -239,6 +239,45 @@
         assertFalse(silent.accepted.get(0).isClosed());
     }
 
+    @Example
+    void aConnectionThatWorksNoMoreIsLeftForANewOne() throws Exception {
+        java.util.concurrent.atomic.AtomicReference<java.net.Socket> cut =
+                new java.util.concurrent.atomic.AtomicReference<>();
+        EngineStandIn engine = open(new EngineStandIn(command -> {
+            cut.compareAndSet(null, command.from());
+            if (command.from() != cut.get()) {
+                EngineStandIn.pages(1).accept(command);
+            }
+        }));
+        start(engine);
+        Client client = client();
+        client.send(Client.query(1, Client.trace(), 15_000, "swallowed"));
+        await("the question whether it works", () -> engine.seen("alive").size() == 1);
+        await("a new connection", () -> {
+            try {
+                String trace = Client.trace();
+                client.send(Client.query((int) (Long.parseLong(trace.substring(8), 16) & 0xffffff), trace, 300, "select"));
+                return Client.rows(client.read()) != null;
+            } catch (IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+        });
+        assertEquals(2, engine.accepted.size());
+        assertFalse(cut.get().isClosed(), "what is out there is not given up");
+    }
+
+    @Example
+    void aClientThatDoesNotReadIsCutOffAndTheOthersServed() throws Exception {
+        start(engine(7));
+        Client deaf = client();
+        for (int id = 1; id <= 32; id++) {
+            deaf.send(Client.query(id, Client.trace(), PATIENCE, "select"));
+        }
+        serves();
+        await("the cut", () -> front.logged("it does not read"));
+        serves();
+    }
+
     @Example
     void anEngineThatEndsWithPagesMissingServesNothing() throws Exception {
         EngineStandIn engine = open(new EngineStandIn(command -> {
@@ -334,8 +373,16 @@
                 client.send(Client.query(id, Client.trace(), 3000, id == 1 && k < 60 ? large : "select"));
             }
         }
+        byte[] unfinished = java.util.Arrays.copyOf(Client.query(1, Client.trace(), 3000, large), 150_000);
         for (int k = 0; k < 400; k++) {
-            client();
+            Client client = client();
+            try {
+                if (k % 2 == 0) {
+                    client.send(unfinished);
+                }
+            } catch (IOException e) {
+                // closed for want of room, as it should be
+            }
         }
         Path proc = Path.of("/proc", Long.toString(front.process.pid()));
         await("an answer past the flood", () -> {
