--- a/src/main/java/reedspring/net/AnswerDecoder.java
+++ b/src/main/java/reedspring/net/AnswerDecoder.java
@@ -16,8 +16,8 @@
 import java.util.Map;
 
 /**
- * Puts an engine's answer together from what Netty's RESP decoder reads. Netty's own aggregators have no limit
- * on sizes, and one engine must not fill the front.
+ * Puts an engine's answer together from what Netty's RESP decoder reads. Netty's own aggregators have no
+ * limit on sizes, and one engine must not fill the front.
  */
 final class AnswerDecoder extends ChannelInboundHandlerAdapter {
     private static final int PARTS = 4;
@@ -56,7 +56,7 @@
                 throw new CorruptedFrameException("an answer begins with an array");
             } else if (message instanceof BulkStringHeaderRedisMessage header) {
                 partBytes = header.bulkStringLength();
-                if (partBytes > (came == PARTS - 1 ? limits.pageBytes() : HEAD_BYTES)) {
+                if (partBytes > (came == PARTS - 1 ? limits.pageBytes : HEAD_BYTES)) {
                     throw new CorruptedFrameException("a string of " + partBytes + " bytes");
                 }
             } else if (message instanceof FullBulkStringRedisMessage full) {
--- a/src/main/java/reedspring/net/ClientConnection.java
+++ b/src/main/java/reedspring/net/ClientConnection.java
@@ -66,7 +66,7 @@
                 error(call.id(), call.fault());
             } else if (call.method().equals("heartbeat")) {
                 channel.writeAndFlush(RpcWriter.heartbeat(channel.alloc(), call.id(), front.able()));
-            } else if (open.size() >= front.limits().clientQueries()) {
+            } else if (open.size() >= front.limits().clientQueries) {
                 turnAway(call.id());
             } else {
                 // While this client was not read from, what it sent lay in a buffer.
@@ -117,7 +117,7 @@
 
     void turnAway(long id) {
         front.log().line("query turned away by a limit", "");
-        shed(id, front.limits().comeBack());
+        shed(id, front.limits().comeBack);
     }
 
     private void shed(long id, long pauseMs) {
@@ -146,17 +146,17 @@
         return out == null ? 0 : out.totalPendingWriteBytes();
     }
 
-    /** Cuts off a client that takes nothing any more: what waits for it takes the place of others' answers. */
+    /** Cuts off a client that takes nothing any more: what waits for it takes room from others' answers. */
     void tick(long now) {
         long waits = pending();
         if (waits == 0 || waits < unsentBytes) {
             sentAt = now;
         }
         unsentBytes = waits;
-        if (now - sentAt >= front.limits().clientStall() * 10L) {
+        if (now - sentAt >= front.limits().clientStall * 10L) {
             front.log().line("client connection closed, it does not read", waits + " bytes wait");
             close();
-        } else if (idleSince(now - front.limits().clientIdle() * 10L)) {
+        } else if (idleSince(now - front.limits().clientIdle * 10L)) {
             close();
         }
     }
@@ -176,7 +176,7 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        // All that lay in the socket has been read, so that the next bytes are new; not so while it isn't read.
+        // What lay in the socket has been read, so the next bytes are new; not so while it isn't read.
         if (ctx.channel().config().isAutoRead()) {
             deafSince = Long.MAX_VALUE;
         }
--- a/src/main/java/reedspring/net/Clock.java
+++ b/src/main/java/reedspring/net/Clock.java
@@ -1,8 +1,8 @@
 package reedspring.net;
 
 /**
- * Unix time in tenths of a millisecond as it stood at the start, carried on by the steady clock: a jump of the
- * system's clock must move no deadline and no span.
+ * Unix time in tenths of a millisecond as it stood at the start, carried on by the steady clock: a jump of
+ * the system's clock must move no deadline and no span.
  */
 final class Clock {
     private static final long NANOS = 100_000;
--- a/src/main/java/reedspring/net/EngineConnection.java
+++ b/src/main/java/reedspring/net/EngineConnection.java
@@ -25,7 +25,7 @@
 import java.util.function.Consumer;
 import reedspring.api.Event.Outcome;
 
-/** One connection to an engine: many submissions, answers in any order, pages asked for as they are wanted. */
+/** One connection to an engine: many submissions, answers in any order, pages fetched as they are wanted. */
 final class EngineConnection extends ChannelInboundHandlerAdapter {
     private final Front front;
     private final Limits limits;
@@ -35,6 +35,7 @@
     private Channel channel;
     private boolean up;
     private boolean retired;
+    private String lost = "closed by the engine";
     private long lastUsedAt;
     private long heardAt;
     private long askedAt = -1;
@@ -52,8 +53,8 @@
         ChannelFuture dialled = dialer.clone().handler(new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel made) {
-                made.pipeline().addLast(new FlushConsolidationHandler(limits.flushes(), true), new RedisEncoder(), new RedisDecoder(),
-                        new AnswerDecoder(limits), self);
+                made.pipeline().addLast(new FlushConsolidationHandler(limits.flushes, true),
+                        new RedisEncoder(), new RedisDecoder(), new AnswerDecoder(limits), self);
             }
         }).connect(address);
         channel = dialled.channel();
@@ -69,16 +70,16 @@
 
     boolean takes(Submission s) {
         // The same query may still be out here from before; an answer could not be told from the other's.
-        return !retired && open.size() < limits.connectionQueries() && !open.containsKey(s.query.trace)
+        return !retired && open.size() < limits.connectionQueries && !open.containsKey(s.query.trace)
                 && (channel == null || !up || channel.isWritable());
     }
 
     /**
-     * Asked and without an answer for as long as a new connection would have to come up. What was sent before a
-     * cut comes only with the kernel's next try, long after its end, and all that is sent later waits behind it.
+     * Asked and without an answer for as long as a new connection would have to come up. What was sent before
+     * a cut arrives only with the kernel's next try, long after its end; what is sent later waits behind it.
      */
     boolean doubtful() {
-        return askedAt >= 0 && front.clock().now() - askedAt >= limits.connectTimeout() * 10L;
+        return askedAt >= 0 && front.clock().now() - askedAt >= limits.connectTimeout * 10L;
     }
 
     void send(Submission s) {
@@ -137,10 +138,10 @@
 
     void tick(long now) {
         // Before the engine closes it for idleness: a submission that crossed that would have an unclear end.
-        if (open.isEmpty() && now - lastUsedAt >= limits.engineIdle() * 10L) {
+        if (open.isEmpty() && now - lastUsedAt >= limits.engineIdle * 10L) {
             close();
         }
-        if (up && !open.isEmpty() && askedAt < 0 && now - heardAt >= limits.engineSilence() * 10L) {
+        if (up && !open.isEmpty() && askedAt < 0 && now - heardAt >= limits.engineSilence * 10L) {
             askedAt = now;
             command(null, "alive", "front");
         }
@@ -204,7 +205,7 @@
 
     private void data(Submission s, AnswerDecoder.Answer answer) {
         double sheets = figure(answer, "sheets", 1);
-        if (!(sheets >= 1 && sheets <= limits.pages())) {
+        if (!(sheets >= 1 && sheets <= limits.pages)) {
             throw new CorruptedFrameException("a result of " + sheets + " pages");
         }
         if (s == null || s.pages != null) {
@@ -255,7 +256,7 @@
         s.pages[at] = page.retain();
         s.bytes += page.readableBytes();
         front.hold(page.readableBytes());
-        if (s.bytes > limits.answerBytes()) {
+        if (s.bytes > limits.answerBytes) {
             front.log().line("engine result over the limit", engine);
             front.closed(s, Outcome.ERROR);
         } else if (--s.missing == 0) {
@@ -278,13 +279,13 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-        end(Outcome.BROKEN, "engine connection lost", "");
+        end(Outcome.BROKEN, "engine connection lost", lost);
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof IOException) {
-            front.log().line("engine connection lost", engine + " " + cause.getMessage());
+            lost = String.valueOf(cause.getMessage());
         } else if (cause instanceof DecoderException) {
             front.log().line("engine connection closed, malformed answer", engine + " " + cause.getMessage());
         } else {
--- a/src/main/java/reedspring/net/Engines.java
+++ b/src/main/java/reedspring/net/Engines.java
@@ -29,7 +29,7 @@
         this.limits = limits;
         this.front = front;
         this.dialer = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeout())
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeout)
                 .option(ChannelOption.TCP_NODELAY, true);
     }
 
@@ -61,9 +61,9 @@
         }
         List<EngineConnection> open = link.connections.stream().filter(c -> c.takes(s)).toList();
         EngineConnection best = open.stream().filter(c -> !c.doubtful()).findFirst().orElse(null);
-        boolean mayDial = link.connections.size() < limits.engineConnections()
+        boolean mayDial = link.connections.size() < limits.engineConnections
                 && links.values().stream().mapToInt(l -> l.connections.size()).sum()
-                        < limits.allEngineConnections();
+                        < limits.allEngineConnections;
         if (best == null && !mayDial) {
             front.log().line("engine connections at their limit", engine.address());
             best = open.isEmpty() ? null : open.get(0);
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -57,7 +57,7 @@
         this.log = new Log();
         this.timers = new Timers(loop, clock, log);
         this.engines = new Engines(loop, limits, this);
-        this.sumAt = clock.now() + limits.logEvery() * 10L;
+        this.sumAt = clock.now() + limits.logEvery * 10L;
         deciding = true;
         this.control = new Control(seed, boot.deployment(), clock.now(), this::act);
         deciding = false;
@@ -97,7 +97,7 @@
 
     /** False if the connection is one too many. */
     boolean came(ClientConnection client) {
-        if (clients.size() >= limits.clientConnections()) {
+        if (clients.size() >= limits.clientConnections) {
             long now = clock.now();
             log.line("client connections at their limit", Integer.toString(clients.size()));
             ClientConnection idle = clients.stream().filter(c -> c.idleSince(now) && !c.midway())
@@ -143,7 +143,7 @@
             client.error(call.id(), fault);
             return null;
         }
-        if (queries.size() >= limits.queries() || held > limits.heldBytes()) {
+        if (queries.size() >= limits.queries || held > limits.heldBytes) {
             client.turnAway(call.id());
             return null;
         }
@@ -154,8 +154,8 @@
         hold(q.statement.readableBytes());
         q.end = timers.at(q.leavesAt + LAST_RESORT, () -> overdue(q));
         q.taken = new Event.Taken(q.id, group, boot.tenant(fields.get("customer")),
-                Statement.dataSet(q.statement), Times.nearest(Math.min(estimate, LARGEST_ESTIMATE)), needMb, q.leavesAt,
-                null);
+                Statement.dataSet(q.statement), Times.nearest(Math.min(estimate, LARGEST_ESTIMATE)), needMb,
+                q.leavesAt, null);
         return q;
     }
 
@@ -208,11 +208,11 @@
     /** For what has come of a request so far; true if there is room for it. */
     boolean piece(int more) {
         held += more;
-        return held <= limits.heldBytes();
+        return held <= limits.heldBytes;
     }
 
     boolean full() {
-        return held > limits.heldBytes();
+        return held > limits.heldBytes;
     }
 
     // ---- decisions
@@ -355,18 +355,18 @@
         engines.tick(now);
         List.copyOf(clients).forEach(client -> client.tick(now));
         if (now >= sumAt) {
-            sumAt = now + limits.logEvery() * 10L;
+            sumAt = now + limits.logEvery * 10L;
             log.sum();
         }
     }
 
     /**
-     * The platform takes the front down: it serves on while requests can still come, answers what it has taken,
-     * and tells when nothing is left.
+     * The platform takes the front down: it serves on while requests can still come, answers what it has
+     * taken, and tells when nothing is left.
      */
     void leave(Runnable left) {
         leaving = true;
-        stayUntil = clock.now() + limits.leavingLongest() * 10L;
+        stayUntil = clock.now() + limits.leavingLongest * 10L;
         log.once("leaving, " + queries.size() + " queries open");
         leaveLater(clock.now(), left);
     }
@@ -386,7 +386,7 @@
         }
         boolean done = queries.values().stream().allMatch(q -> q.answered)
                 && (last || clients.stream().noneMatch(ClientConnection::unsent));
-        if (gone >= limits.leavingQuiet() * 10L && done) {
+        if (gone >= limits.leavingQuiet * 10L && done) {
             log.once("left");
             log.sum();
             left.run();
--- a/src/main/java/reedspring/net/Journal.java
+++ b/src/main/java/reedspring/net/Journal.java
@@ -54,9 +54,9 @@
         this.limits = limits;
         this.service = service;
         this.chance = new SplittableRandom(seed);
-        this.wait = limits.journalFirstWait();
+        this.wait = limits.journalFirstWait;
         this.dialer = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.journalSilence());
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.journalSilence);
     }
 
     /** Hands over the list that the configuration holds. */
@@ -108,11 +108,11 @@
 
     /** A stream that says nothing, not even a comment, is cut off. */
     private void watch(Channel watched) {
-        front.timers().at(heardAt + limits.journalSilence() * 10L, () -> {
+        front.timers().at(heardAt + limits.journalSilence * 10L, () -> {
             if (!watched.isOpen()) {
                 return;
             }
-            if (front.clock().now() - heardAt >= limits.journalSilence() * 10L) {
+            if (front.clock().now() - heardAt >= limits.journalSilence * 10L) {
                 front.log().line("journal silent, called again", "");
                 watched.close();
             } else {
@@ -124,12 +124,12 @@
     private void again() {
         // Half of the wait is chance, so that fronts which lost it together don't come back together.
         long tenths = wait * 5 + chance.nextLong(wait * 5 + 1);
-        wait = Math.min(limits.journalLongestWait(), wait * 2);
+        wait = Math.min(limits.journalLongestWait, wait * 2);
         front.timers().in(tenths, this::follow);
     }
 
     private final class Stream extends ChannelInboundHandlerAdapter {
-        private final EventStream events = new EventStream(limits.journalBytes(), this::event);
+        private final EventStream events = new EventStream(limits.journalBytes, this::event);
         private boolean answered;
 
         @Override
@@ -161,7 +161,7 @@
             }
             try {
                 if (read(id, data)) {
-                    wait = limits.journalFirstWait();
+                    wait = limits.journalFirstWait;
                 } else {
                     channel.close();
                 }
@@ -171,6 +171,13 @@
             }
         }
 
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (answered) {
+                front.log().line("journal stream ended, called again", "");
+            }
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (cause instanceof IOException) {
@@ -203,6 +210,11 @@
         gapSeen = false;
         position = number;
         if (list != null) {
+            // Names are new with each engine; what is kept of one goes with it.
+            hosts.stream().filter(host -> host.listing().health() == Health.GONE).forEach(host -> {
+                bornMs.remove(host.listing().engine());
+                startedAt.remove(host.listing().engine());
+            });
             front.listed(whole ? Reading.COMPLETE : Reading.CHANGES, hosts);
         }
         return true;
--- a/src/main/java/reedspring/net/Json.java
+++ b/src/main/java/reedspring/net/Json.java
@@ -39,8 +39,8 @@
         }
         if (token == JsonToken.START_ARRAY) {
             List<Object> list = new ArrayList<>();
-            for (JsonToken next = parser.nextToken(); next != JsonToken.END_ARRAY; next = parser.nextToken()) {
-                list.add(value(parser, next));
+            while (parser.nextToken() != JsonToken.END_ARRAY) {
+                list.add(value(parser, parser.currentToken()));
             }
             return list;
         }
--- a/src/main/java/reedspring/net/Limits.java
+++ b/src/main/java/reedspring/net/Limits.java
@@ -4,30 +4,67 @@
 import reedspring.boot.BootException;
 
 /**
- * All sizes, counts and times that bound what the front holds, filled once at start. Times are milliseconds,
- * sizes bytes. None of them is a decision: where one is met, the query is turned away unseen.
- *
- * @param heldBytes statements and answers held at once; past it new queries are turned away
- * @param socketBytes what the kernel may hold for one client each way, as it counts against the front's memory
- * @param clientStall after which a client that has read nothing of what waits for it is cut off
- * @param engineSilence after which a connection that owes answers is asked whether it works
- * @param flushes what one turn of the loop has for a connection goes out in one write, up to so many messages
- * @param unsentBytes of one client, past which it is not read from until it has read
+ * All sizes, counts and times that bound what the front holds, filled once at start and handed down. Times
+ * are milliseconds, sizes bytes. None of them is a decision: where one is met, a query is turned away unseen
+ * or a connection goes.
  */
-record Limits(int clientConnections, int clientQueries, int clientIdle, int clientStall, int messageBytes, int messageValues,
-              int queries, long heldBytes, int unsentBytes, int socketBytes, int answerBytes, int pageBytes, int pages,
-              int engineConnections, int allEngineConnections, int connectionQueries,
-              int connectTimeout, int engineIdle, int engineSilence,
-              int journalSilence, int journalFirstWait, int journalLongestWait, int journalBytes,
-              int leavingQuiet, int leavingLongest, int comeBack, int logEvery, int flushes) {
-
-    static Limits of(Boot boot, int sockets) throws BootException {
-        return new Limits(Math.max(8, sockets / 2), 32, 60_000, 10_000, 1 << 18, 256,
-                2048, 20 << 20, 1 << 16, 1 << 16, 48_000, 6_000, 64,
-                Math.max(1, Math.min(8, sockets / 64)), Math.max(1, sockets / 4),
-                (int) boot.number("allowed.multiplex", 32), (int) boot.number("allowed.connectTimeoutMs", 1000),
-                (int) (boot.number("allowed.idleCloseMs", 30_000) * 0.8), 1_000,
-                3_000, 50, 1_000, 1 << 20,
-                800, 3_400, (int) boot.number("allowed.maxRetryAfterMs", 0), 10_000, 256);
+final class Limits {
+    // Clients. They may hold a third of the descriptors; the rest of the half is for those that overlap.
+    final int clientConnections;
+    final int clientQueries = 32;
+    final int clientIdle = 60_000;
+    /** After which a client that has taken nothing of what waits for it is cut off. */
+    final int clientStall = 10_000;
+    final int messageBytes = 1 << 18;
+    final int messageValues = 256;
+    /** What waits for one client before it is not read from. */
+    final int unsentBytes = 1 << 16;
+    /** What the kernel may hold for one client each way: that counts against the front's memory, too. */
+    final int socketBytes = 1 << 16;
+    /** What is read at once, at first and at most. */
+    final int firstRead = 2048;
+    final int largestRead = 16_384;
+
+    // All queries, and what is held for them: statements, unfinished messages, answers.
+    final int queries = 2048;
+    final long heldBytes = 20 << 20;
+    final int answerBytes = 48_000;
+    /** The time that clients are named with a refusal, as the deployment has it. */
+    final int comeBack;
+
+    // Engines.
+    final int pageBytes = 6_000;
+    final int pages = 64;
+    final int engineConnections;
+    final int allEngineConnections;
+    final int connectionQueries;
+    final int connectTimeout;
+    final int engineIdle;
+    /** After which a connection that owes answers is asked whether it works. */
+    final int engineSilence = 1_000;
+
+    // The journal service. It says something each second.
+    final int journalSilence = 3_000;
+    final int journalFirstWait = 50;
+    final int journalLongestWait = 1_000;
+    final int journalBytes = 1 << 20;
+
+    // The end. Requests come for 0.6 s after SIGTERM, SIGKILL 3.7 s after it.
+    final int leavingQuiet = 800;
+    final int leavingLongest = 3_400;
+
+    final int logEvery = 10_000;
+    /** What one turn of the loop has for a connection goes out in one write, up to so many messages. */
+    final int flushes = 256;
+
+    Limits(Boot boot, int sockets) throws BootException {
+        clientConnections = sockets / 2;
+        engineConnections = Math.max(1, Math.min(8, sockets / 64));
+        allEngineConnections = sockets / 4;
+        connectionQueries = Math.max(1, (int) boot.number("allowed.multiplex", 32));
+        connectTimeout = Math.max(1, (int) boot.number("allowed.connectTimeoutMs", 1_000));
+        // The engine closes at the full time; a submission that crossed that would have an unclear end.
+        engineIdle = (int) (boot.number("allowed.idleCloseMs", 30_000) * 0.8);
+        comeBack = (int) boot.number("allowed.maxRetryAfterMs", 0);
     }
 }
--- a/src/main/java/reedspring/net/Log.java
+++ b/src/main/java/reedspring/net/Log.java
@@ -28,8 +28,8 @@
 
     /** Kinds name engines, too, so that their number has to be bounded as well. */
     private int[] count(String kind) {
-        return seen.computeIfAbsent(seen.size() < KINDS || seen.containsKey(kind) ? kind : "lines of other kinds",
-                k -> new int[1]);
+        boolean known = seen.size() < KINDS || seen.containsKey(kind);
+        return seen.computeIfAbsent(known ? kind : "lines of other kinds", k -> new int[1]);
     }
 
     /** Ends a span. */
--- a/src/main/java/reedspring/net/RpcDecoder.java
+++ b/src/main/java/reedspring/net/RpcDecoder.java
@@ -6,9 +6,9 @@
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.TooLongFrameException;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.HashMap;
 
 /**
  * MessagePack-RPC from clients, parsed where it lies: Netty has no codec for it, and the libraries copy a
@@ -63,12 +63,12 @@
         }
         int start = in.readerIndex();
         lacking = 0;
-        budget = limits.messageValues();
+        budget = limits.messageValues;
         boolean whole = pass(in, 1);
         int length = in.readerIndex() - start;
         in.readerIndex(start);
-        if (length > limits.messageBytes()) {
-            throw new TooLongFrameException("a message over " + limits.messageBytes() + " bytes");
+        if (length > limits.messageBytes) {
+            throw new TooLongFrameException("a message over " + limits.messageBytes + " bytes");
         }
         if (!whole) {
             if (!unfinished(in.readableBytes()) && in.readableBytes() > SMALL) {
@@ -114,13 +114,13 @@
     }
 
     /**
-     * Passes {@code count} values; false if they have not come whole. A message in pieces is measured anew with
-     * each, which the limit on values keeps cheap.
+     * Passes {@code count} values; false if they have not come whole. A message in pieces is measured anew
+     * with each, which the limit on values keeps cheap.
      */
     private boolean pass(ByteBuf in, long count) {
         for (long left = count; left > 0; left--) {
             if (budget-- == 0) {
-                throw new TooLongFrameException("a message of over " + limits.messageValues() + " values");
+                throw new TooLongFrameException("a message of over " + limits.messageValues + " values");
             }
             if (!in.isReadable()) {
                 return false;
@@ -147,8 +147,8 @@
                 long length = size == 0 ? 0 : unsigned(in, size);
                 if (type >= 0xdc) {
                     left += (type >= 0xde ? 2 : 1) * length;
-                    if (left > limits.messageValues()) {
-                        throw new TooLongFrameException("a message of over " + limits.messageValues()
+                    if (left > limits.messageValues) {
+                        throw new TooLongFrameException("a message of over " + limits.messageValues
                                 + " values");
                     }
                 } else if (!skip(in, size == 0 || type >= 0xca && type <= 0xd3 ? fixed(type)
@@ -161,8 +161,8 @@
     }
 
     private boolean skip(ByteBuf in, long length, long left) {
-        if (length > limits.messageBytes()) {
-            throw new TooLongFrameException("a message over " + limits.messageBytes() + " bytes");
+        if (length > limits.messageBytes) {
+            throw new TooLongFrameException("a message over " + limits.messageBytes + " bytes");
         }
         if (in.readableBytes() < length) {
             lacking = left == 1 ? length - in.readableBytes() : 0;
@@ -302,7 +302,7 @@
             if (value == null) {
                 // A field of another type: of no use by this name, and no harm under one that is not known.
                 in.readerIndex(valueAt);
-                budget = limits.messageValues();
+                budget = limits.messageValues;
                 pass(in, 1);
             } else {
                 fields.put(name, value);
--- a/src/main/java/reedspring/net/RpcWriter.java
+++ b/src/main/java/reedspring/net/RpcWriter.java
@@ -29,7 +29,8 @@
     }
 
     static ByteBuf heartbeat(ByteBufAllocator buffers, long id, boolean able) {
-        return begin(buffers, id).writeByte(0xc0).writeByte(0x92).writeByte(able ? 0xc3 : 0xc2).writeByte(0x80);
+        int answer = able ? 0xc3 : 0xc2;
+        return begin(buffers, id).writeByte(0xc0).writeByte(0x92).writeByte(answer).writeByte(0x80);
     }
 
     /** @param value of the one field, or null for none */
--- a/src/main/java/reedspring/net/Startup.java
+++ b/src/main/java/reedspring/net/Startup.java
@@ -53,7 +53,7 @@
             return new Orders(Json.text(file, "name"), address(Json.text(file, "listen"), "listen"),
                     address(Json.text(file, "journal"), "journal"), seedOf(Json.text(file, "seed")),
                     Json.map(file.get("known"), "known"), boot,
-                    Limits.of(boot, (int) Math.min(sockets, Integer.MAX_VALUE)));
+                    new Limits(boot, (int) Math.min(sockets, Integer.MAX_VALUE)));
         }
     }
 
@@ -77,8 +77,8 @@
             System.err.println("reedspring: configuration: " + e.getMessage());
             return UNUSABLE;
         } catch (ExecutionException e) {
-            System.err.println("reedspring: " + (e.getCause() instanceof BootException ? "configuration: " : "")
-                    + e.getCause().getMessage());
+            String what = e.getCause() instanceof BootException ? "configuration: " : "";
+            System.err.println("reedspring: " + what + e.getCause().getMessage());
             return UNUSABLE;
         }
     }
@@ -91,7 +91,7 @@
         return front;
     }
 
-    /** Runs as a shutdown hook, on SIGTERM: holds the end up until the front has left, and then makes it 0. */
+    /** Runs as a shutdown hook, on SIGTERM: holds the end up until the front has left, and makes it a 0. */
     private static void leave(EventLoop loop, Front front) {
         CountDownLatch left = new CountDownLatch(1);
         loop.execute(() -> front.leave(left::countDown));
@@ -119,17 +119,18 @@
     private static ServerBootstrap server(EventLoopGroup group, Front front, Limits limits) {
         return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 1024)
-                .option(ChannelOption.SO_RCVBUF, limits.socketBytes())
-                .childOption(ChannelOption.SO_SNDBUF, limits.socketBytes())
+                .option(ChannelOption.SO_RCVBUF, limits.socketBytes)
+                .childOption(ChannelOption.SO_SNDBUF, limits.socketBytes)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK,
-                        new WriteBufferWaterMark(limits.unsentBytes() / 2, limits.unsentBytes()))
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(256, 2048, 16384))
+                        new WriteBufferWaterMark(limits.unsentBytes / 2, limits.unsentBytes))
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(256, limits.firstRead, limits.largestRead))
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel made) {
                         ClientConnection client = new ClientConnection(front);
-                        made.pipeline().addLast(new FlushConsolidationHandler(limits.flushes(), true),
+                        made.pipeline().addLast(new FlushConsolidationHandler(limits.flushes, true),
                                 client.decoder(), client);
                         if (!front.came(client)) {
                             made.close();
--- a/src/main/java/reedspring/net/Statement.java
+++ b/src/main/java/reedspring/net/Statement.java
@@ -9,7 +9,8 @@
  * statement names tables (behind {@code FROM}, say) goes before one elsewhere, which may be an alias.
  */
 final class Statement {
-    private static final String[] BEFORE_TABLES = {"from", "join", "into", "update", "table", "using", "only"};
+    private static final String[] BEFORE_TABLES =
+            {"from", "join", "into", "update", "table", "using", "only"};
     private static final int DIGITS = 18;
 
     private final ByteBuf text;
--- a/src/main/java/reedspring/net/Timers.java
+++ b/src/main/java/reedspring/net/Timers.java
@@ -6,8 +6,11 @@
 import java.util.PriorityQueue;
 import java.util.concurrent.TimeUnit;
 
-/** Everything that is due later, behind one alarm of the event loop: a query must not start a task of its own. */
+/** All that is due later, behind one alarm of the event loop: a query must not start a task of its own. */
 final class Timers {
+    /** The loop wakes up to a millisecond late for its alarms. */
+    private static final long LATE = 30;
+
     private final EventLoop loop;
     private final Clock clock;
     private final Log log;
@@ -16,6 +19,7 @@
     private long order;
     private Future<?> alarm;
     private long alarmAt = Long.MAX_VALUE;
+    private long behindSince = Long.MAX_VALUE;
 
     static final class Due {
         private final long at;
@@ -57,7 +61,7 @@
      * process, stood still, and what is read after that may have waited as long.
      */
     long earliestArrival() {
-        long now = clock.now();
+        long now = Math.min(clock.now(), behindSince);
         return queue.isEmpty() ? now : Math.min(now, queue.peek().at);
     }
 
@@ -75,6 +79,11 @@
     private void ring() {
         alarmAt = Long.MAX_VALUE;
         alarm = null;
+        if (!queue.isEmpty() && clock.now() - queue.peek().at > LATE) {
+            // The timers may run before what came meanwhile is read. What is due at once runs after that.
+            behindSince = Math.min(behindSince, queue.peek().at);
+            loop.schedule(() -> behindSince = Long.MAX_VALUE, 1, TimeUnit.NANOSECONDS);
+        }
         for (long now = clock.now(); !queue.isEmpty() && queue.peek().at <= now; ) {
             try {
                 queue.poll().what.run();
--- a/src/test/java/reedspring/House.java
+++ b/src/test/java/reedspring/House.java
@@ -600,7 +600,8 @@
             return "{\"name\":\"n0\",\"listen\":\"" + listen + "\",\"seed\":\"8c1f30d27a5be964\","
                     + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
                     + (journal == null ? "" : "\"journal\":\"" + journal + "\",")
-                    + "\"known\":{\"pos\":" + known.length + ",\"entries\":[" + String.join(",", known) + "]},"
+                    + "\"known\":{\"pos\":" + known.length
+                    + ",\"entries\":[" + String.join(",", known) + "]},"
                     + "\"settings\":{\"fleetSize\":1,\"allowed\":{\"cancel\":false,\"sendCap\":3,"
                     + "\"connectTimeoutMs\":250.0,\"multiplex\":32,\"idleCloseMs\":30000.0,"
                     + "\"retryAfter\":true,\"maxRetryAfterMs\":500.0},\"classes\":[{\"name\":\"lookup\","
@@ -761,9 +762,9 @@
     }
 
     /**
-     * Part of the build: plays a short day round the program while the JVM notes the classes that it loads, and
-     * leaves them as an archive from which a front starts in half the time. A front needs no archive, so a
-     * machine on which this fails still has its build.
+     * Part of the build: plays a short day round the program while the JVM notes the classes that it loads,
+     * and leaves them as an archive from which a front starts in half the time. A front needs no archive,
+     * so a machine on which this fails still has its build.
      */
     public static void main(String[] args) throws Exception {
         try (JournalStandIn journal = new JournalStandIn();
@@ -779,8 +780,9 @@
             journal.send("id: 2\ndata: " + JournalStandIn.event(2, false,
                     JournalStandIn.host("e1", odd.address(), "draining")) + "\n\n");
             client.send(Client.pack(List.of(0, 1, "heartbeat", List.of(Map.of())))).read();
+            String statement = "select 'a' from sales_17.orders -- b";
             for (int id = 2; id < 200; id++) {
-                client.send(Client.query(id, Client.trace(), 2000, "select 'a' from sales_17.orders -- b")).read();
+                client.send(Client.query(id, Client.trace(), 2000, statement)).read();
             }
             program.process.toHandle().destroy();
             require(program.process.waitFor(PATIENCE_S, TimeUnit.SECONDS), "the front stays", null);
--- a/src/test/java/reedspring/adapter/AdapterTest.java
+++ b/src/test/java/reedspring/adapter/AdapterTest.java
@@ -81,11 +81,12 @@
         assertEquals("-120.3", out.toString());
     }
 
-    /** A number of fronts that can't be counts as one; one that is no number ends the adapter with its name. */
+    /** A number of fronts that can't be counts as one; one that is no number ends the adapter. */
     @Example
     void anOddNumberOfFrontsHasADefinedAnswer() throws Exception {
         for (String fronts : new String[] {"0", "-3", "1e12", "220"}) {
-            String out = serve(frame(100, ATTACH.replace("fleetSize=1", "me=500 fleetSize=" + fronts) + QUERY));
+            String attach = ATTACH.replace("fleetSize=1", "me=500 fleetSize=" + fronts);
+            String out = serve(frame(100, attach + QUERY));
             assertTrue(out.contains("SEND i=3 call=77 engine=10.0.0.1:7"), fronts + ": " + out);
         }
         assertEquals("line 2: ATTACH fleetSize: 'many' is no number",
--- a/src/test/java/reedspring/net/CodecTest.java
+++ b/src/test/java/reedspring/net/CodecTest.java
@@ -30,7 +30,7 @@
 class CodecTest {
     private static Limits limits() {
         try {
-            return Limits.of(new Boot(Map.of()), 1024);
+            return new Limits(new Boot(Map.of()), 1024);
         } catch (BootException e) {
             throw new AssertionError(e);
         }
@@ -125,7 +125,8 @@
 
     @Example
     void aMessageOverALimitIsRefusedBeforeItHasCome() {
-        for (byte[] head : List.of(new byte[] {(byte) 0xc6, 0, 16, 0, 0}, new byte[] {(byte) 0xdd, 0, 1, 0, 0},
+        for (byte[] head : List.of(new byte[] {(byte) 0xc6, 0, 16, 0, 0},
+                new byte[] {(byte) 0xdd, 0, 1, 0, 0},
                 new byte[] {(byte) 0xdf, 127, -1, -1, -1}, new byte[] {(byte) 0xc1})) {
             EmbeddedChannel channel = new EmbeddedChannel(new RpcDecoder(limits(), more -> true));
             assertThrows(DecoderException.class, () -> channel.writeInbound(Unpooled.wrappedBuffer(head)));
@@ -174,7 +175,8 @@
 
     @Example
     void anAnswerOfAnotherFormIsMalformed() {
-        for (String text : List.of("+OK\r\n", "*3\r\n", "*-1\r\n", "*4\r\n:1\r\n", "*4\r\n$-1\r\n", "*4\r\n*4\r\n")) {
+        for (String text : List.of("+OK\r\n", "*3\r\n", "*-1\r\n", "*4\r\n:1\r\n", "*4\r\n$-1\r\n",
+                "*4\r\n*4\r\n")) {
             EmbeddedChannel channel = new EmbeddedChannel(new RedisDecoder(), new AnswerDecoder(limits()));
             assertThrows(CorruptedFrameException.class, () -> channel.writeInbound(
                     Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII)), text);
@@ -187,8 +189,10 @@
         List<String> seen = new ArrayList<>();
         EventStream events = new EventStream(1 << 16, (id, data) -> seen.add(id + "|" + data));
         String end = List.of("\n", "\r\n", "\r").get(chance.nextInt(3));
-        byte[] sent = String.join(end, ": hello", "", "id: 7", "event: odd", "data: {\"a\":", "data:\"\u00e9\"}", "",
-                "", "retry", "data", "", "id:8", "", "data:  x", "", "data: cut off").getBytes(StandardCharsets.UTF_8);
+        byte[] sent = String.join(end, ": hello", "", "id: 7", "event: odd",
+                "data: {\"a\":", "data:\"\u00e9\"}",
+                "", "", "retry", "data", "", "id:8", "", "data:  x", "", "data: cut off")
+                .getBytes(StandardCharsets.UTF_8);
         for (int at = 0; at < sent.length; ) {
             int size = Math.min(sent.length - at, 1 + chance.nextInt(12));
             events.feed(Unpooled.wrappedBuffer(sent, at, size));
@@ -214,7 +218,9 @@
         groups.put("select 'open from sales_1.t", -1L);
         groups.put("/* open from sales_1.t", -1L);
         groups.put("", -1L);
-        groups.forEach((statement, group) -> assertEquals(group,
-                Statement.dataSet(Unpooled.copiedBuffer(statement, StandardCharsets.UTF_8)).value(), statement));
+        groups.forEach((statement, group) -> {
+            ByteBuf text = Unpooled.copiedBuffer(statement, StandardCharsets.UTF_8);
+            assertEquals(group, Statement.dataSet(text).value(), statement);
+        });
     }
 }
--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -5,11 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static reedspring.House.await;
 import static reedspring.House.JournalStandIn.event;
 import static reedspring.House.JournalStandIn.host;
+import static reedspring.House.await;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -17,6 +18,8 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import reedspring.House.Client;
@@ -97,8 +100,8 @@
         String statement = "select 'it''s' from \"sales_17\".orders";
         List<?> answer = client().send(Client.query(300, trace, PATIENCE, statement)).read();
         assertEquals(300L, answer.get(1));
-        assertEquals(EngineStandIn.page(trace, 0) + EngineStandIn.page(trace, 1) + EngineStandIn.page(trace, 2),
-                Client.rows(answer));
+        assertEquals(EngineStandIn.page(trace, 0) + EngineStandIn.page(trace, 1)
+                + EngineStandIn.page(trace, 2), Client.rows(answer));
         List<String> fetch = engine.seen("fetch").get(0).words();
         assertEquals(List.of(trace, statement), List.of(fetch.get(1), fetch.get(3)));
         assertTrue(fetch.get(2).matches("lane=lookup,ttl=4[0-9]{3}(,urgency=[0-3])?"), fetch.get(2));
@@ -141,10 +144,12 @@
         EngineStandIn silent = silentEngine();
         start(silent, silent);
         Client client = client();
-        client.send(Client.pack(List.of(0, 1, "stroll", List.of(Client.fields(Client.trace(), 99), new byte[0]))),
+        Map<String, Object> fields = Client.fields(Client.trace(), 99);
+        client.send(Client.pack(List.of(0, 1, "stroll", List.of(fields, new byte[0]))),
                 Client.pack(List.of(0, 2, "lookup", List.of(Map.of("trace", "xyz"), new byte[0]))),
                 Client.pack(List.of(0, 3, "lookup", List.of(7))), Client.pack(List.of(0, 4, "lookup")),
-                Client.pack(List.of(2, "weather", List.of("rain"))), Client.pack(List.of(1, 5, "no question")),
+                Client.pack(List.of(2, "weather", List.of("rain"))),
+                Client.pack(List.of(1, 5, "no question")),
                 Client.query(6, Client.trace(), 400, "open"), Client.query(6, Client.trace(), 400, "again"),
                 Client.pack(List.of(0, 7, "heartbeat", List.of(Map.of("novel", 1)))));
         for (long id : new long[] {1, 2, 3, 4, 6}) {
@@ -214,7 +219,8 @@
                     == null ? 0 : 1;
         }
         assertTrue(served >= 18, served + " of 24, three submissions each and three engines of four bad");
-        assertTrue(front.logged("engine unreachable") && front.logged("malformed answer"), front.log::toString);
+        assertTrue(front.logged("engine unreachable"), front.log::toString);
+        assertTrue(front.logged("malformed answer"), front.log::toString);
         serves();
     }
 
@@ -232,7 +238,8 @@
         long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sent);
         assertTrue(took < 1200 + 70, took + " ms");
         assertTrue(answers.values().stream().anyMatch(answer -> Client.rows(answer) != null));
-        assertTrue(answers.values().stream().allMatch(a -> a.get(2) == null || "Shed".equals(Client.error(a))));
+        assertTrue(answers.values().stream()
+                .allMatch(a -> a.get(2) == null || "Shed".equals(Client.error(a))));
         assertTrue(silent.seen.size() + good.seen("fetch").size() >= 16);
         assertTrue(silent.seen("abort").isEmpty(), "cancels are not allowed");
         assertEquals(1, silent.accepted.size(), "nor by closing");
@@ -241,8 +248,7 @@
 
     @Example
     void aConnectionThatWorksNoMoreIsLeftForANewOne() throws Exception {
-        java.util.concurrent.atomic.AtomicReference<java.net.Socket> cut =
-                new java.util.concurrent.atomic.AtomicReference<>();
+        AtomicReference<Socket> cut = new AtomicReference<>();
         EngineStandIn engine = open(new EngineStandIn(command -> {
             cut.compareAndSet(null, command.from());
             if (command.from() != cut.get()) {
@@ -253,10 +259,10 @@
         Client client = client();
         client.send(Client.query(1, Client.trace(), 15_000, "swallowed"));
         await("the question whether it works", () -> engine.seen("alive").size() == 1);
+        AtomicInteger ids = new AtomicInteger(1);
         await("a new connection", () -> {
             try {
-                String trace = Client.trace();
-                client.send(Client.query((int) (Long.parseLong(trace.substring(8), 16) & 0xffffff), trace, 300, "select"));
+                client.send(Client.query(ids.incrementAndGet(), Client.trace(), 300, "select"));
                 return Client.rows(client.read()) != null;
             } catch (IOException e) {
                 throw new java.io.UncheckedIOException(e);
@@ -359,6 +365,46 @@
         assertTrue(System.nanoTime() - term < 3_700_000_000L, "SIGKILL would have come");
     }
 
+    @Example
+    void timeInWhichItStoodStillCountsAgainstWhatWaitedUnread() throws Exception {
+        EngineStandIn engine = engine(1);
+        start(engine);
+        serves();
+        Client client = client();
+        signal("-STOP");
+        long stopped = System.nanoTime();
+        client.send(Client.query(1, Client.trace(), PATIENCE, "select"),
+                Client.query(2, Client.trace(), 100, "too late"));
+        await("a second", () -> System.nanoTime() - stopped > 1_000_000_000L);
+        signal("-CONT");
+        Map<Long, List<?>> answers = client.read(2);
+        assertTrue(Client.rows(answers.get(1L)) != null);
+        assertEquals("Shed", Client.error(answers.get(2L)));
+        List<EngineStandIn.Command> sent = engine.seen("fetch");
+        assertEquals(2, sent.size());
+        String ttl = sent.get(1).words().get(2).replaceAll(".*ttl=(\\d+).*", "$1");
+        assertTrue(Integer.parseInt(ttl) < PATIENCE - 900, ttl);
+    }
+
+    private void signal(String name) throws Exception {
+        String pid = Long.toString(front.process.pid());
+        assertEquals(0, new ProcessBuilder("kill", name, pid).start().waitFor());
+    }
+
+    @Example
+    void killedAndStartedAgainItServesAtItsAddress() throws Exception {
+        EngineStandIn engine = silentEngine();
+        start(engine);
+        client().send(Client.query(1, Client.trace(), PATIENCE, "lost with it"));
+        await("the query at the engine", () -> engine.seen("fetch").size() == 1);
+        signal("-KILL");
+        assertTrue(front.process.waitFor(20, TimeUnit.SECONDS));
+        EngineStandIn good = engine(1);
+        front = open(new Program(Program.config(front.listen, journal.address(),
+                event(1, true, host("e0", good.address(), "ready"))))).ready();
+        serves();
+    }
+
     /** Floods of connections, of large statements and of answers that nobody reads. */
     @Example
     void theLimitsHoldUnderAFlood() throws Exception {
@@ -387,15 +433,16 @@
         Path proc = Path.of("/proc", Long.toString(front.process.pid()));
         await("an answer past the flood", () -> {
             try (Client fresh = front.client()) {
-                return Client.rows(fresh.send(Client.query(1, Client.trace(), 3000, "select")).read()) != null;
+                fresh.send(Client.query(1, Client.trace(), 3000, "select"));
+                return Client.rows(fresh.read()) != null;
             } catch (IOException e) {
                 return false;
             }
         });
         for (Client client : deaf) {
             Map<Long, List<?>> answers = client.read(EACH);
-            assertTrue(answers.values().stream().allMatch(a -> Client.rows(a) != null
-                    && Client.rows(a).length() > 40_000 || List.of("Shed", "Fault").contains(Client.error(a))));
+            assertTrue(answers.values().stream().allMatch(a -> Client.rows(a) == null
+                    ? List.of("Shed", "Fault").contains(Client.error(a)) : Client.rows(a).length() > 40_000));
         }
         long peakKb = Files.readAllLines(proc.resolve("status")).stream().filter(l -> l.startsWith("VmHWM"))
                 .mapToLong(l -> Long.parseLong(l.replaceAll("\\D", ""))).sum();
@@ -412,7 +459,8 @@
     void aConfigurationThatCanNotBeUsedEndsItWithTheFieldsName() throws Exception {
         String good = Program.config("127.0.0.1:1", "127.0.0.1:2");
         Map<String, String> bad = Map.of("RELAY_CONFIG", "{", "journal", Program.config("127.0.0.1:1", null),
-                "listen", Program.config("here", "127.0.0.1:2"), "seed", good.replace("8c1f30d27a5be964", "?"),
+                "listen", Program.config("here", "127.0.0.1:2"),
+                "seed", good.replace("8c1f30d27a5be964", "?"),
                 "settings", good.replace("\"settings\"", "\"other\""),
                 "known.entries", good.replace("[],\"settings\"", "7,\"settings\"").replace("[]},", "7},"),
                 "classes.0.aimMs", good.replace("900.0", "\"soon\""));
