--- a/src/main/java/reedspring/Main.java
+++ b/src/main/java/reedspring/Main.java
@@ -23,7 +23,7 @@
             return;
         }
         if (args.length == 1 && args[0].equals("serve")) {
-            System.exit(Startup.serve(System.getenv()));
+            Runtime.getRuntime().halt(Startup.serve(System.getenv()));
         }
         if (args.length != 1 || !args[0].equals("adapter")) {
             System.err.print(USAGE);
--- a/src/main/java/reedspring/api/Id.java
+++ b/src/main/java/reedspring/api/Id.java
@@ -10,7 +10,7 @@
     record Submission(int value) implements Id {
     }
 
-    /** A query engine, by its address. */
+    /** A query engine, by what its protocol names it: an address, or a name that outlives one. */
     record Engine(String address) implements Id {
     }
 
--- a/src/main/java/reedspring/net/AnswerDecoder.java
+++ b/src/main/java/reedspring/net/AnswerDecoder.java
@@ -21,7 +21,6 @@
  */
 final class AnswerDecoder extends ChannelInboundHandlerAdapter {
     private static final int PARTS = 4;
-    private static final int HEAD_BYTES = 4096;
 
     private final Limits limits;
     private final ByteBuf[] parts = new ByteBuf[PARTS];
@@ -56,7 +55,7 @@
                 throw new CorruptedFrameException("an answer begins with an array");
             } else if (message instanceof BulkStringHeaderRedisMessage header) {
                 partBytes = header.bulkStringLength();
-                if (partBytes > (came == PARTS - 1 ? limits.pageBytes : HEAD_BYTES)) {
+                if (partBytes > (came == PARTS - 1 ? limits.pageBytes : limits.headBytes)) {
                     throw new CorruptedFrameException("a string of " + partBytes + " bytes");
                 }
             } else if (message instanceof FullBulkStringRedisMessage full) {
--- a/src/main/java/reedspring/net/Engines.java
+++ b/src/main/java/reedspring/net/Engines.java
@@ -61,21 +61,18 @@
         }
         List<EngineConnection> open = link.connections.stream().filter(c -> c.takes(s)).toList();
         EngineConnection best = open.stream().filter(c -> !c.doubtful()).findFirst().orElse(null);
-        boolean mayDial = link.connections.size() < limits.engineConnections
-                && links.values().stream().mapToInt(l -> l.connections.size()).sum()
-                        < limits.allEngineConnections;
-        if (best == null && !mayDial) {
+        if (best == null && !mayDial(link)) {
             front.log().line("engine connections at their limit", engine.address());
-            best = open.isEmpty() ? null : open.get(0);
+            if (open.isEmpty()) {
+                front.closed(s, Event.Outcome.UNREACHABLE);
+                return;
+            }
+            best = open.get(0);
         }
         if (best != null) {
             best.send(s);
             return;
         }
-        if (!mayDial) {
-            front.closed(s, Event.Outcome.UNREACHABLE);
-            return;
-        }
         InetSocketAddress address = link.host.address();
         EngineConnection connection = new EngineConnection(front, limits, engine.address(),
                 link.connections::remove);
@@ -84,6 +81,12 @@
         connection.dial(dialer, address);
     }
 
+    private boolean mayDial(Link link) {
+        return link.connections.size() < limits.engineConnections
+                && links.values().stream().mapToInt(l -> l.connections.size()).sum()
+                        < limits.allEngineConnections;
+    }
+
     void tick(long now) {
         for (Link link : links.values()) {
             for (EngineConnection connection : List.copyOf(link.connections)) {
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -23,10 +23,7 @@
  * queries and their submissions; what an action brings about at once comes back as an event after it.
  */
 final class Front {
-    private static final long TICK = 2_500;
     private static final Pattern TRACE = Pattern.compile("[0-9a-fA-F]{16}");
-    /** Past a query's time before the front itself answers; the rules allow a little more. */
-    private static final long LAST_RESORT = 100;
     private static final double LONGEST_PATIENCE = 1e9;
     private static final double LARGEST_ESTIMATE = 1e12;
 
@@ -54,14 +51,14 @@
         this.boot = boot;
         this.limits = limits;
         this.clock = new Clock();
-        this.log = new Log();
+        this.log = new Log(limits);
         this.timers = new Timers(loop, clock, log);
         this.engines = new Engines(loop, limits, this);
         this.sumAt = clock.now() + limits.logEvery * 10L;
         deciding = true;
         this.control = new Control(seed, boot.deployment(), clock.now(), this::act);
         deciding = false;
-        timers.in(TICK, this::tick);
+        timers.in(limits.tick * 10L, this::tick);
     }
 
     Clock clock() {
@@ -152,7 +149,7 @@
                         arrivedAt + Times.nearest(Math.min(patience, LONGEST_PATIENCE))));
         queries.put(q.id, q);
         hold(q.statement.readableBytes());
-        q.end = timers.at(q.leavesAt + LAST_RESORT, () -> overdue(q));
+        q.end = timers.at(q.leavesAt + limits.lastResort * 10L, () -> overdue(q));
         q.taken = new Event.Taken(q.id, group, boot.tenant(fields.get("customer")),
                 Statement.dataSet(q.statement), Times.nearest(Math.min(estimate, LARGEST_ESTIMATE)), needMb,
                 q.leavesAt, null);
@@ -350,7 +347,7 @@
     // ---- time
 
     private void tick() {
-        timers.in(TICK, this::tick);
+        timers.in(limits.tick * 10L, this::tick);
         long now = clock.now();
         engines.tick(now);
         List.copyOf(clients).forEach(client -> client.tick(now));
--- a/src/main/java/reedspring/net/Journal.java
+++ b/src/main/java/reedspring/net/Journal.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -136,8 +137,13 @@
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             heardAt = front.clock().now();
             try {
+                if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
+                    front.log().line("journal answer malformed", part.decoderResult().toString());
+                    ctx.close();
+                    return;
+                }
                 if (message instanceof HttpResponse response) {
-                    answered = response.status().code() == 200 && response.decoderResult().isSuccess();
+                    answered = response.status().code() == 200;
                     if (!answered) {
                         front.log().line("journal refused", response.status().toString());
                         ctx.close();
--- a/src/main/java/reedspring/net/Limits.java
+++ b/src/main/java/reedspring/net/Limits.java
@@ -1,5 +1,6 @@
 package reedspring.net;
 
+import reedspring.api.Deployment;
 import reedspring.boot.Boot;
 import reedspring.boot.BootException;
 
@@ -17,6 +18,8 @@
     final int clientStall = 10_000;
     final int messageBytes = 1 << 18;
     final int messageValues = 256;
+    /** An unfinished message up to this size may come even where there is no room. */
+    final int smallMessage = 4096;
     /** What waits for one client before it is not read from. */
     final int unsentBytes = 1 << 16;
     /** What the kernel may hold for one client each way: that counts against the front's memory, too. */
@@ -29,11 +32,14 @@
     final int queries = 2048;
     final long heldBytes = 20 << 20;
     final int answerBytes = 48_000;
+    /** Past a query's time before the front answers for the decisions; the rules allow a little more. */
+    final int lastResort = 10;
     /** The time that clients are named with a refusal, as the deployment has it. */
     final int comeBack;
 
     // Engines.
     final int pageBytes = 6_000;
+    final int headBytes = 4_096;
     final int pages = 64;
     final int engineConnections;
     final int allEngineConnections;
@@ -53,7 +59,11 @@
     final int leavingQuiet = 800;
     final int leavingLongest = 3_400;
 
+    /** Between two looks at all connections. */
+    final int tick = 250;
     final int logEvery = 10_000;
+    final int logKinds = 64;
+    final int logLine = 200;
     /** What one turn of the loop has for a connection goes out in one write, up to so many messages. */
     final int flushes = 256;
 
@@ -65,6 +75,7 @@
         connectTimeout = Math.max(1, (int) boot.number("allowed.connectTimeoutMs", 1_000));
         // The engine closes at the full time; a submission that crossed that would have an unclear end.
         engineIdle = (int) (boot.number("allowed.idleCloseMs", 30_000) * 0.8);
-        comeBack = (int) boot.number("allowed.maxRetryAfterMs", 0);
+        Deployment.Allowed allowed = boot.deployment().allowed();
+        comeBack = allowed.comeBack() ? (int) (allowed.longestComeBack() / 10) : 0;
     }
 }
--- a/src/main/java/reedspring/net/Log.java
+++ b/src/main/java/reedspring/net/Log.java
@@ -6,9 +6,13 @@
 
 /** The front's log. Of each kind of line one is written in a span; the rest are counted and summed up. */
 final class Log {
-    private static final int KINDS = 64;
+    private final Limits limits;
     private final Map<String, int[]> seen = new LinkedHashMap<>();
 
+    Log(Limits limits) {
+        this.limits = limits;
+    }
+
     /** A line that comes once in a front's life. */
     void once(String line) {
         Logger.info(line);
@@ -28,7 +32,7 @@
 
     /** Kinds name engines, too, so that their number has to be bounded as well. */
     private int[] count(String kind) {
-        boolean known = seen.size() < KINDS || seen.containsKey(kind);
+        boolean known = seen.size() < limits.logKinds || seen.containsKey(kind);
         return seen.computeIfAbsent(known ? kind : "lines of other kinds", k -> new int[1]);
     }
 
@@ -43,7 +47,7 @@
     }
 
     /** What others send must not forge lines or fill the log. */
-    private static String printable(String text) {
-        return text.substring(0, Math.min(200, text.length())).replaceAll("[^\\x20-\\x7e]", "?");
+    private String printable(String text) {
+        return text.substring(0, Math.min(limits.logLine, text.length())).replaceAll("[^\\x20-\\x7e]", "?");
     }
 }
--- a/src/main/java/reedspring/net/RpcDecoder.java
+++ b/src/main/java/reedspring/net/RpcDecoder.java
@@ -18,7 +18,6 @@
 final class RpcDecoder extends ByteToMessageDecoder {
     private static final int REQUEST = 0;
     private static final int NOTICE = 2;
-    private static final int SMALL = 4096;
     private static final int REQUEST_PARTS = 4;
 
     private final Limits limits;
@@ -71,7 +70,7 @@
             throw new TooLongFrameException("a message over " + limits.messageBytes + " bytes");
         }
         if (!whole) {
-            if (!unfinished(in.readableBytes()) && in.readableBytes() > SMALL) {
+            if (!unfinished(in.readableBytes()) && in.readableBytes() > limits.smallMessage) {
                 refuse(in);
             }
             return;
--- a/src/main/java/reedspring/net/Startup.java
+++ b/src/main/java/reedspring/net/Startup.java
@@ -23,6 +23,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.atomic.AtomicReference;
 import org.tinylog.provider.ProviderRegistry;
 import reedspring.boot.Boot;
 import reedspring.boot.BootException;
@@ -57,14 +58,19 @@
         }
     }
 
-    /** Serves until the process is ended; returns an exit code only if the front can't come up. */
+    /**
+     * Serves until the process is ended; returns an exit code only if the front can't come up. The caller has to
+     * halt with it, as an ordinary exit runs the hook that SIGTERM runs.
+     */
     public static int serve(Map<String, String> environment) throws InterruptedException {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
+        AtomicReference<Front> raised = new AtomicReference<>();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(loop, raised.get())));
         try {
             Orders orders = Orders.read(environment.get("RELAY_CONFIG"));
             Front front = loop.submit(() -> raise(loop, orders)).get();
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(loop, front)));
+            raised.set(front);
             ChannelFuture bound = server(group, front, orders.limits()).bind(orders.listen());
             if (!bound.awaitUninterruptibly().isSuccess()) {
                 System.err.println("reedspring: listen: " + bound.cause().getMessage());
@@ -93,6 +99,10 @@
 
     /** Runs as a shutdown hook, on SIGTERM: holds the end up until the front has left, and makes it a 0. */
     private static void leave(EventLoop loop, Front front) {
+        if (front == null) {
+            // Nothing has been taken yet.
+            Runtime.getRuntime().halt(0);
+        }
         CountDownLatch left = new CountDownLatch(1);
         loop.execute(() -> front.leave(left::countDown));
         try {
--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -207,6 +207,24 @@
         assertTrue(engine.seen("more").isEmpty() && engine.seen("abort").isEmpty());
     }
 
+    @Example
+    void whereCancelsAreHeededARevokedQueryIsGivenUp() throws Exception {
+        EngineStandIn engine = silentEngine();
+        journal = open(new JournalStandIn());
+        String config = Program.config(Program.freeAddress(), journal.address(),
+                event(1, true, host("e0", engine.address(), "ready")));
+        front = open(new Program(config.replace("\"cancel\":false", "\"cancel\":true"))).ready();
+        String trace = Client.trace();
+        Client client = client().send(Client.query(1, trace, PATIENCE, "select"));
+        await("the query at the engine", () -> engine.seen("fetch").size() == 1);
+        client.send(Client.pack(List.of(2, "revoke", List.of(1))));
+        await("its end", () -> engine.seen("abort").size() == 1);
+        assertEquals(trace, engine.seen("abort").get(0).id());
+        engine.seen("fetch").get(0).answer("data", "sheets=1", "too late\n");
+        client.send(Client.pack(List.of(0, 2, "heartbeat", List.of(Map.of()))));
+        assertEquals(2L, client.read().get(1));
+    }
+
     @Example
     void afterARefusedConnectOrAResetAnotherEngineServes() throws Exception {
         EngineStandIn resets = open(new EngineStandIn(command -> {
@@ -387,7 +405,7 @@
         signal("-CONT");
         Map<Long, List<?>> answers = client.read(2);
         assertTrue(Client.rows(answers.get(1L)) != null);
-        assertEquals("Shed", Client.error(answers.get(2L)));
+        assertEquals(List.of("Shed", List.of("pause", "499")), answers.get(2L).get(2));
         List<EngineStandIn.Command> sent = engine.seen("fetch");
         assertEquals(2, sent.size());
         String ttl = sent.get(1).words().get(2).replaceAll(".*ttl=(\\d+).*", "$1");
