--- a/src/main/java/reedspring/net/Startup.java
+++ b/src/main/java/reedspring/net/Startup.java
@@ -59,8 +59,8 @@
     }
 
     /**
-     * Serves until the process is ended; returns an exit code only if the front can't come up. The caller has to
-     * halt with it, as an ordinary exit runs the hook that SIGTERM runs.
+     * Serves until the process is ended; returns an exit code only if the front can't come up. The caller has
+     * to halt with it, as an ordinary exit runs the hook that SIGTERM runs.
      */
     public static int serve(Map<String, String> environment) throws InterruptedException {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
