--- a/src/main/java/reedspring/net/Engines.java
+++ b/src/main/java/reedspring/net/Engines.java
@@ -22,6 +22,7 @@
     /** One engine's connections. Those to an address or a process that it has no more carry nothing new. */
     private static final class Link {
         private Host host;
+        private boolean gone;
         private final List<EngineConnection> connections = new ArrayList<>();
     }
 
@@ -39,15 +40,16 @@
             Link link = links.computeIfAbsent(id, k -> new Link());
             Host before = link.host;
             link.host = host;
+            link.gone = host.listing().health() == Event.Health.GONE;
             if (before != null && (!before.address().equals(host.address())
                     || before.listing().startedAt() != host.listing().startedAt())) {
                 List.copyOf(link.connections).forEach(EngineConnection::retire);
             }
         }
         links.forEach((id, link) -> {
-            boolean unnamed = reading != Event.Reading.CHANGES
+            link.gone |= reading != Event.Reading.CHANGES
                     && hosts.stream().noneMatch(host -> host.listing().engine().equals(id));
-            if (unnamed || link.host.listing().health() == Event.Health.GONE) {
+            if (link.gone) {
                 List.copyOf(link.connections).forEach(EngineConnection::retire);
             }
         });
@@ -93,7 +95,6 @@
                 connection.tick(now);
             }
         }
-        links.values().removeIf(link -> link.host.listing().health() == Event.Health.GONE
-                && link.connections.isEmpty());
+        links.values().removeIf(link -> link.gone && link.connections.isEmpty());
     }
 }
--- a/src/main/java/reedspring/net/Json.java
+++ b/src/main/java/reedspring/net/Json.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -12,7 +13,10 @@
 
 /** JSON as maps, lists and text. Figures stay text: each reader knows what it wants them as. */
 final class Json {
-    private static final JsonFactory FACTORY = new JsonFactory();
+    /** Deeper than any list or configuration, and far from what the small stacks hold. */
+    private static final int DEEPEST = 64;
+    private static final JsonFactory FACTORY = JsonFactory.builder().streamReadConstraints(
+            StreamReadConstraints.builder().maxNestingDepth(DEEPEST).build()).build();
 
     private Json() {
     }
--- a/src/test/java/reedspring/net/CodecTest.java
+++ b/src/test/java/reedspring/net/CodecTest.java
@@ -135,6 +135,7 @@
         java.util.Arrays.fill(deep, (byte) 0x91);
         EmbeddedChannel channel = new EmbeddedChannel(new RpcDecoder(limits(), more -> true));
         assertThrows(DecoderException.class, () -> channel.writeInbound(Unpooled.wrappedBuffer(deep)));
+        assertThrows(IOException.class, () -> Json.read("[".repeat(100_000)));
         EmbeddedChannel engine = new EmbeddedChannel(new RedisDecoder(), new AnswerDecoder(limits()));
         assertThrows(DecoderException.class, () -> engine.writeInbound(Unpooled.copiedBuffer(
                 "*4\r\n$1\r\na\r\n$4\r\ndata\r\n$1\r\n-\r\n$6001\r\n", StandardCharsets.US_ASCII)));
--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -364,6 +364,10 @@
             return second.accepted.size() == 2;
         });
         assertTrue(first.seen.size() <= before + 1, "the first is not listed any more");
+        int calls = journal.calledFrom.size();
+        await("a call after silence", () -> journal.calledFrom.size() > calls);
+        assertEquals("3", journal.calledFrom.get(calls));
+        assertTrue(front.logged("journal silent"), front.log::toString);
     }
 
     @Example
