Keep two runs of one query apart: a further submission takes a connection of its own

Found by reading, then shown by a test: a page that an engine failed left the other pages of that run on their way, and a second submission to the same engine took them for its own, or broke the connection over them (EngineConnection.page, keyed by the query's id alone). Before: three submissions on one connection; after: three connections. Closing for idleness waits while an engine may still work on what timed out, since that would cancel it.

--- a/src/main/java/reedspring/net/ClientConnection.java
+++ b/src/main/java/reedspring/net/ClientConnection.java
@@ -20,6 +20,7 @@
     private long lastUsedAt;
     private long deafSince = Long.MAX_VALUE;
     private long unsentBytes;
+    private boolean progress;
     private long sentAt;
 
     ClientConnection(Front front) {
@@ -101,7 +102,10 @@
         channel.write(RpcWriter.rowsHead(channel.alloc(), q.messageId, length));
         pages.forEach(page -> channel.write(page.retain()));
         front.hold(length);
-        channel.writeAndFlush(RpcWriter.rowsTail(channel.alloc())).addListener(done -> front.hold(-length));
+        channel.writeAndFlush(RpcWriter.rowsTail(channel.alloc())).addListener(done -> {
+            front.hold(-length);
+            progress = true;
+        });
     }
 
     /** A retry is safe; {@code comeBack} in tenths, 0 for no time named. */
@@ -149,9 +153,10 @@
     /** Cuts off a client that takes nothing any more: what waits for it takes room from others' answers. */
     void tick(long now) {
         long waits = pending();
-        if (waits == 0 || waits < unsentBytes) {
+        if (waits == 0 || waits < unsentBytes || progress) {
             sentAt = now;
         }
+        progress = false;
         unsentBytes = waits;
         if (now - sentAt >= front.limits().clientStall * 10L) {
             front.log().line("client connection closed, it does not read", waits + " bytes wait");
--- a/src/main/java/reedspring/net/EngineConnection.java
+++ b/src/main/java/reedspring/net/EngineConnection.java
@@ -20,18 +20,26 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import reedspring.api.Event.Outcome;
 
 /** One connection to an engine: many submissions, answers in any order, pages fetched as they are wanted. */
 final class EngineConnection extends ChannelInboundHandlerAdapter {
+    private static final Set<String> LAST_WORDS = Set.of("data", "full", "failed", "moot");
+
     private final Front front;
     private final Limits limits;
     private final String engine;
     private final Consumer<EngineConnection> ended;
     private final Map<String, Submission> open = new LinkedHashMap<>();
+    /** Queries that have still something to come here from a submission that is over, the latest of them. */
+    private final Set<String> spent = new LinkedHashSet<>();
+    /** Those of them that the engine may still be at work on. */
+    private final Set<String> running = new LinkedHashSet<>();
     private Channel channel;
     private boolean up;
     private boolean retired;
@@ -69,8 +77,10 @@
     }
 
     boolean takes(Submission s) {
-        // The same query may still be out here from before; an answer could not be told from the other's.
+        // What is still to come here of an earlier submission could not be told from this one's: an answer
+        // has only the query's id, and pages of two runs must not end up in one result.
         return !retired && open.size() < limits.connectionQueries && !open.containsKey(s.query.trace)
+                && !spent.contains(s.query.trace)
                 && (channel == null || !up || channel.isWritable());
     }
 
@@ -120,14 +130,29 @@
 
     /** What comes for the submission later is dropped. */
     void drop(Submission s) {
-        if (open.remove(s.query.trace, s) && s.pages != null && s.pages.length > 1 && up) {
-            command(null, "done", s.query.trace);
+        if (open.remove(s.query.trace, s)) {
+            if (s.pages != null && s.pages.length > 1 && up) {
+                command(null, "done", s.query.trace);
+            }
+            if (s.written && (s.pages == null || s.missing > 0)) {
+                keepLatest(spent, s.query.trace);
+                if (s.pages == null) {
+                    keepLatest(running, s.query.trace);
+                }
+            }
         }
         if (retired && open.isEmpty()) {
             close();
         }
     }
 
+    private void keepLatest(Set<String> traces, String trace) {
+        traces.add(trace);
+        if (traces.size() > limits.queries) {
+            traces.remove(traces.iterator().next());
+        }
+    }
+
     /** Takes nothing new; what is out on it may still end well. */
     void retire() {
         retired = true;
@@ -138,7 +163,8 @@
 
     void tick(long now) {
         // Before the engine closes it for idleness: a submission that crossed that would have an unclear end.
-        if (open.isEmpty() && now - lastUsedAt >= limits.engineIdle * 10L) {
+        // Not while the engine may be at work for it, as closing would cancel that.
+        if (open.isEmpty() && running.isEmpty() && now - lastUsedAt >= limits.engineIdle * 10L) {
             close();
         }
         if (up && !open.isEmpty() && askedAt < 0 && now - heardAt >= limits.engineSilence * 10L) {
@@ -176,6 +202,9 @@
             heardAt = lastUsedAt;
             askedAt = -1;
             Submission s = open.get(answer.id());
+            if (s == null && LAST_WORDS.contains(answer.word()) && running.remove(answer.id())) {
+                spent.remove(answer.id());
+            }
             switch (answer.word()) {
                 case "data" -> data(s, answer);
                 case "page" -> page(s, answer);
@@ -199,6 +228,10 @@
 
     private void over(Submission s, Outcome outcome) {
         if (s != null) {
+            if (s.pages == null) {
+                // The engine's last word: nothing more comes.
+                open.remove(s.query.trace, s);
+            }
             front.closed(s, outcome);
         }
     }
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -27,7 +27,6 @@
     private static final double LONGEST_PATIENCE = 1e9;
     private static final double LARGEST_ESTIMATE = 1e12;
 
-    private final EventLoop loop;
     private final Boot boot;
     private final Limits limits;
     private final Clock clock;
@@ -47,7 +46,6 @@
     private long sumAt;
 
     Front(EventLoop loop, Boot boot, Limits limits, long seed) {
-        this.loop = loop;
         this.boot = boot;
         this.limits = limits;
         this.clock = new Clock();
--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -314,8 +314,8 @@
     void anEngineThatEndsWithPagesMissingServesNothing() throws Exception {
         EngineStandIn engine = open(new EngineStandIn(command -> {
             if (command.word().equals("fetch")) {
-                command.answer("data", "sheets=2", "half\n");
-            } else if (command.word().equals("more")) {
+                command.answer("data", "sheets=3", "a third\n");
+            } else if (command.word().equals("more") && command.words().get(2).equals("1")) {
                 command.answer("failed", "-", "");
             }
         }));
@@ -323,6 +323,8 @@
         List<?> answer = client().send(Client.query(1, Client.trace(), 1000, "select")).read();
         assertNull(Client.rows(answer));
         assertEquals(3, engine.seen("fetch").size(), "all submissions were made");
+        assertEquals(3, engine.seen("fetch").stream().map(EngineStandIn.Command::from).distinct().count(),
+                "a page that is still to come would be taken for one of the next run");
     }
 
     @Example
