--- a/src/main/java/reedspring/net/ClientConnection.java
+++ b/src/main/java/reedspring/net/ClientConnection.java
@@ -197,6 +197,10 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (!ctx.channel().isOpen()) {
+            // The rest of what was read is decoded once more at the close, and fails once more.
+            return;
+        }
         if (cause instanceof DecoderException && cause.getCause() == null) {
             front.log().line("client connection closed, broken framing", cause.getMessage());
         } else if (cause instanceof IOException) {
--- a/src/main/java/reedspring/net/Startup.java
+++ b/src/main/java/reedspring/net/Startup.java
@@ -83,8 +83,9 @@
             System.err.println("reedspring: configuration: " + e.getMessage());
             return UNUSABLE;
         } catch (ExecutionException e) {
-            String what = e.getCause() instanceof BootException ? "configuration: " : "";
-            System.err.println("reedspring: " + what + e.getCause().getMessage());
+            Throwable cause = e.getCause();
+            System.err.println("reedspring: configuration: "
+                    + (cause instanceof BootException ? cause.getMessage() : "known: " + cause));
             return UNUSABLE;
         }
     }
@@ -156,8 +157,8 @@
         try {
             return Json.map(Json.read(Files.readString(Path.of(path))), "RELAY_CONFIG");
         } catch (IOException e) {
-            throw new BootException("RELAY_CONFIG", "can't be read: " + e.getMessage().lines().findFirst()
-                    .orElse(e.getClass().getSimpleName()));
+            throw new BootException("RELAY_CONFIG", "can't be read: " + String.valueOf(e.getMessage()).lines()
+                    .findFirst().orElse(""));
         }
     }
 
--- a/src/test/java/reedspring/net/CodecTest.java
+++ b/src/test/java/reedspring/net/CodecTest.java
@@ -224,4 +224,18 @@
             assertEquals(group, Statement.dataSet(text).value(), statement);
         });
     }
+
+    @Example
+    void aJumpOfTheSystemsClockMovesNoDeadline() {
+        long[] unix = {5_000_000};
+        long[] steady = {77};
+        Clock clock = new Clock(() -> unix[0], () -> steady[0]);
+        assertEquals(5_000_000, clock.now());
+        unix[0] += 36_000_000;
+        steady[0] += 2_000_000;
+        assertEquals(5_000_020, clock.now());
+        // Another machine, by the same clock after the jump: a second ago.
+        assertEquals(5_000_020 - 10_000, clock.ofUnixMs((unix[0] - 10_000) / 10));
+        assertEquals(0, clock.ofUnixMs(0), "long ago");
+    }
 }
--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -202,7 +202,8 @@
         assertEquals(2L, client.read().get(1));
         held.get(0).answer("data", "sheets=4", "row\n");
         await("that no more pages are wanted", () -> engine.seen("done").size() == 1);
-        client.send(Client.query(3, Client.trace(), PATIENCE, "select 3"));
+        client.send(Client.pack(List.of(2, "revoke", List.of(2))),
+                Client.query(3, Client.trace(), PATIENCE, "select 3"));
         assertEquals(3L, client.read().get(1));
         assertTrue(engine.seen("more").isEmpty() && engine.seen("abort").isEmpty());
     }
@@ -328,6 +329,25 @@
                 "a page that is still to come would be taken for one of the next run");
     }
 
+    @Example
+    void itsHeartbeatIsTrueOnceItHasAList() throws Exception {
+        journal = open(new JournalStandIn());
+        front = open(new Program(Program.config(Program.freeAddress(), journal.address()))).ready();
+        Client client = client();
+        byte[] heartbeat = Client.pack(List.of(0, 1, "heartbeat", List.of(Map.of())));
+        assertEquals(List.of(false, List.of()), client.send(heartbeat).read().get(3));
+        await("the call", () -> journal.calledFrom.equals(List.of("0")));
+        journal.send("id: 1\ndata: " + event(1, true, host("e0", engine(1).address(), "ready")) + "\n\n");
+        await("a true heartbeat", () -> {
+            try {
+                return client.send(heartbeat).read().get(3).equals(List.of(true, List.of()));
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+        serves();
+    }
+
     @Example
     void theJournalIsResumedByNumberAndWhatItSaysWrongKeepsTheList() throws Exception {
         EngineStandIn first = engine(1);
