--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -112,7 +112,7 @@
                 + EngineStandIn.page(trace, 2), Client.rows(answer));
         List<String> fetch = engine.seen("fetch").get(0).words();
         assertEquals(List.of(trace, statement), List.of(fetch.get(1), fetch.get(3)));
-        assertTrue(fetch.get(2).matches("lane=lookup,ttl=4[0-9]{3}(,urgency=[0-3])?"), fetch.get(2));
+        assertTrue(fetch.get(2).matches("lane=lookup,ttl=4[0-9]{3},urgency=2"), fetch.get(2));
         await("the end of its pages", () -> engine.seen("done").size() == 1);
     }
 
@@ -211,10 +211,7 @@
     @Example
     void whereCancelsAreHeededARevokedQueryIsGivenUp() throws Exception {
         EngineStandIn engine = silentEngine();
-        journal = open(new JournalStandIn());
-        String config = Program.config(Program.freeAddress(), journal.address(),
-                event(1, true, host("e0", engine.address(), "ready")));
-        front = open(new Program(config.replace("\"cancel\":false", "\"cancel\":true"))).ready();
+        startHeedingCancels(engine);
         String trace = Client.trace();
         Client client = client().send(Client.query(1, trace, PATIENCE, "select"));
         await("the query at the engine", () -> engine.seen("fetch").size() == 1);
@@ -226,6 +223,31 @@
         assertEquals(2L, client.read().get(1));
     }
 
+    private void startHeedingCancels(EngineStandIn engine) throws Exception {
+        journal = open(new JournalStandIn());
+        String config = Program.config(Program.freeAddress(), journal.address(),
+                event(1, true, host("e0", engine.address(), "ready")));
+        front = open(new Program(config.replace("\"cancel\":false", "\"cancel\":true"))).ready();
+    }
+
+    /** Progress reaches the decisions: a run that says it is far behind its estimate is started afresh. */
+    @Example
+    void aRunFarBehindIsGivenUpForAFreshOne() throws Exception {
+        EngineStandIn engine = silentEngine();
+        startHeedingCancels(engine);
+        String trace = Client.trace();
+        Client client = client().send(Client.query(1, trace, PATIENCE, "select"));
+        await("the first run", () -> engine.seen("fetch").size() == 1);
+        await("its end", () -> {
+            engine.seen("fetch").get(0).answer("news", "why=done,val=0.01", "");
+            return engine.seen("abort").size() == 1;
+        });
+        await("the second run", () -> engine.seen("fetch").size() == 2);
+        engine.seen("fetch").get(0).answer("data", "sheets=1", "of the first run\n");
+        engine.seen("fetch").get(1).answer("data", "sheets=1", "of the second run\n");
+        assertEquals("of the second run\n", Client.rows(client.read()));
+    }
+
     @Example
     void afterARefusedConnectOrAResetAnotherEngineServes() throws Exception {
         EngineStandIn resets = open(new EngineStandIn(command -> {
