--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -9,9 +9,19 @@
 import static reedspring.House.JournalStandIn.host;
 import static reedspring.House.await;
 
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.SocketChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -32,6 +42,8 @@
 import reedspring.House.EngineStandIn;
 import reedspring.House.JournalStandIn;
 import reedspring.House.Program;
+import reedspring.api.Id;
+import reedspring.boot.Boot;
 
 /** Starts the built program by the deploy file's line and speaks to it over loopback sockets. */
 class FrontIT {
@@ -230,6 +242,66 @@
         front = open(new Program(config.replace("\"cancel\":false", "\"cancel\":true"))).ready();
     }
 
+    /** A machine that is cut off: connections to it neither come up nor fail. */
+    @Example
+    void whereNoConnectionComesUpNothingRanAndAnotherEngineServes() throws Exception {
+        ServerSocket cutOff = open(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+        // Its queue of connections that nobody accepts is filled until one more no longer comes up.
+        await("a full queue", () -> {
+            try {
+                SocketChannel one = open(SocketChannel.open());
+                one.configureBlocking(false);
+                one.connect(cutOff.getLocalSocketAddress());
+                long since = System.nanoTime();
+                return await("an end or none", () -> one.isConnectionPending() && !finished(one)
+                        ? System.nanoTime() - since > 100_000_000L ? "none" : null : "up").equals("none");
+            } catch (IOException | InterruptedException e) {
+                throw new AssertionError(e);
+            }
+        });
+        startWith(host("e0", "127.0.0.1:" + cutOff.getLocalPort(), "ready"),
+                host("e1", engine(1).address(), "ready"));
+        for (int k = 0; k < 6; k++) {
+            serves();
+        }
+        assertTrue(front.logged("engine unreachable: e0"), front.log::toString);
+    }
+
+    private static boolean finished(SocketChannel channel) {
+        try {
+            return channel.finishConnect();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    @Example
+    void thePriorityOfWhatRunsCanBeChanged() throws Exception {
+        EngineStandIn engine = silentEngine();
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        opened.add(() -> group.shutdownGracefully(0, 0, TimeUnit.SECONDS));
+        EventLoop loop = group.next();
+        Boot boot = new Boot(Map.of());
+        Limits limits = new Limits(boot, 1024);
+        loop.submit(() -> {
+            Front made = new Front(loop, boot, limits, 1);
+            OpenQuery q = new OpenQuery(new Id.Query(1), 1, null, Client.trace(), "lookup",
+                    Unpooled.EMPTY_BUFFER, made.clock().now() + 50_000);
+            Submission s = new Submission(q, made.clock().now(), q.leavesAt);
+            EngineConnection connection = new EngineConnection(made, limits, "e0", ended -> { });
+            connection.send(s);
+            connection.dial(new Bootstrap().group(loop).channel(NioSocketChannel.class),
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), engine.port()));
+            made.timers().in(2_000, () -> {
+                q.priority = 3;
+                connection.renice(s);
+            });
+        }).get();
+        await("the new priority", () -> engine.seen("renice").size() == 1);
+        assertEquals(List.of("renice", engine.seen("fetch").get(0).id(), "3"),
+                engine.seen("renice").get(0).words());
+    }
+
     /** Progress reaches the decisions: a run that says it is far behind its estimate is started afresh. */
     @Example
     void aRunFarBehindIsGivenUpForAFreshOne() throws Exception {
