--- a/src/main/java/reedspring/boot/Boot.java
+++ b/src/main/java/reedspring/boot/Boot.java
@@ -115,6 +115,15 @@
         return machines;
     }
 
+    /** The longest queue timeout of all groups in milliseconds, 0 where none is told. */
+    public double longestTimeout() throws BootException {
+        double longest = 0;
+        for (int k = 0; k < groupNames.size(); k++) {
+            longest = Math.max(longest, number("classes." + k + ".deadlineMs", 0));
+        }
+        return longest;
+    }
+
     /** A figure of the deployment that only a protocol needs. */
     public double number(String key, double otherwise) throws BootException {
         String value = pairs.get(key);
--- a/src/main/java/reedspring/net/EventStream.java
+++ b/src/main/java/reedspring/net/EventStream.java
@@ -24,7 +24,9 @@
         this.reader = reader;
     }
 
-    void feed(ByteBuf in) {
+    /** Whether a line has ended, be it of an event or a comment. */
+    boolean feed(ByteBuf in) {
+        boolean ended = false;
         while (in.isReadable()) {
             int c = in.readByte();
             boolean second = c == '\n' && afterReturn;
@@ -33,6 +35,7 @@
                 continue;
             }
             if (c == '\n' || c == '\r') {
+                ended = true;
                 String text = line.toString(StandardCharsets.UTF_8);
                 line.reset();
                 line(text);
@@ -43,6 +46,7 @@
                 }
             }
         }
+        return ended;
     }
 
     private void line(String text) {
--- a/src/main/java/reedspring/net/Journal.java
+++ b/src/main/java/reedspring/net/Journal.java
@@ -39,7 +39,7 @@
 final class Journal {
     private final Front front;
     private final Limits limits;
-    private final InetSocketAddress service;
+    private InetSocketAddress service;
     private final Bootstrap dialer;
     private final SplittableRandom chance;
     private final Map<Id.Engine, Long> bornMs = new LinkedHashMap<>();
@@ -57,7 +57,7 @@
         this.chance = new SplittableRandom(seed);
         this.wait = limits.journalFirstWait;
         this.dialer = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.journalSilence);
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.journalConnect);
     }
 
     /** Hands over the list that the configuration holds. */
@@ -80,7 +80,22 @@
         }
     }
 
+    /** Another address for the same numbering. What the old stream still tells is not heard. */
+    void move(InetSocketAddress to) {
+        service = to;
+        wait = limits.journalFirstWait;
+        follow();
+    }
+
+    private void follow(Channel instead) {
+        // A call that was begun meanwhile, after a move, stands.
+        if (channel == instead) {
+            follow();
+        }
+    }
+
     void follow() {
+        Channel before = channel;
         heardAt = front.clock().now();
         ChannelFuture dialled = dialer.clone().handler(new ChannelInitializer<>() {
             @Override
@@ -90,7 +105,7 @@
         }).connect(service);
         channel = dialled.channel();
         Channel called = channel;
-        called.closeFuture().addListener(closed -> again());
+        called.closeFuture().addListener(closed -> again(called));
         dialled.addListener(done -> {
             if (done.isSuccess()) {
                 DefaultFullHttpRequest get =
@@ -105,12 +120,15 @@
             }
         });
         watch(called);
+        if (before != null) {
+            before.close();
+        }
     }
 
     /** A stream that says nothing, not even a comment, is cut off. */
     private void watch(Channel watched) {
         front.timers().at(heardAt + limits.journalSilence * 10L, () -> {
-            if (!watched.isOpen()) {
+            if (!watched.isOpen() || watched != channel) {
                 return;
             }
             if (front.clock().now() - heardAt >= limits.journalSilence * 10L) {
@@ -122,11 +140,14 @@
         });
     }
 
-    private void again() {
+    private void again(Channel ended) {
+        if (ended != channel) {
+            return;
+        }
         // Half of the wait is chance, so that fronts which lost it together don't come back together.
         long tenths = wait * 5 + chance.nextLong(wait * 5 + 1);
         wait = Math.min(limits.journalLongestWait, wait * 2);
-        front.timers().in(tenths, this::follow);
+        front.timers().in(tenths, () -> follow(ended));
     }
 
     private final class Stream extends ChannelInboundHandlerAdapter {
@@ -135,7 +156,11 @@
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
-            heardAt = front.clock().now();
+            if (ctx.channel() != channel || !channel.isOpen()) {
+                // After a move, or after an event that could not be used.
+                ReferenceCountUtil.release(message);
+                return;
+            }
             try {
                 if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
                     front.log().line("journal answer malformed", part.decoderResult().toString());
@@ -150,8 +175,9 @@
                         return;
                     }
                 }
-                if (message instanceof HttpContent content && answered) {
-                    events.feed(content.content());
+                if (message instanceof HttpContent content && answered && events.feed(content.content())) {
+                    // Only a whole line is a sign of life: bytes that trickle tell nothing.
+                    heardAt = front.clock().now();
                 }
                 if (message instanceof LastHttpContent) {
                     ctx.close();
@@ -179,7 +205,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            if (answered) {
+            if (answered && ctx.channel() == channel) {
                 front.log().line("journal stream ended, called again", "");
             }
         }
--- a/src/main/java/reedspring/net/Limits.java
+++ b/src/main/java/reedspring/net/Limits.java
@@ -49,15 +49,18 @@
     /** After which a connection that owes answers is asked whether it works. */
     final int engineSilence = 1_000;
 
-    // The journal service. It says something each second.
-    final int journalSilence = 3_000;
+    // The journal service. It says something each second, and counts as having told what it has 2 s after a
+    // break and 4 s after a stop.
+    final int journalSilence = 1_800;
+    final int journalConnect = 1_000;
     final int journalFirstWait = 50;
-    final int journalLongestWait = 1_000;
+    final int journalLongestWait = 500;
     final int journalBytes = 1 << 20;
 
-    // The end. Requests come for 0.6 s after SIGTERM, SIGKILL 3.7 s after it.
+    // The end. Requests come for 0.6 s after SIGTERM; SIGKILL comes 0.7 s past the longest queue timeout,
+    // which counts as 3 s where it is longer.
     final int leavingQuiet = 800;
-    final int leavingLongest = 3_400;
+    final int leavingLongest;
 
     /** Between two looks at all connections. */
     final int tick = 250;
@@ -75,6 +78,8 @@
         connectTimeout = Math.max(1, (int) boot.number("allowed.connectTimeoutMs", 1_000));
         // The engine closes at the full time; a submission that crossed that would have an unclear end.
         engineIdle = (int) (boot.number("allowed.idleCloseMs", 30_000) * 0.8);
+        double longest = boot.longestTimeout();
+        leavingLongest = (int) (longest > 0 ? Math.min(longest, 3_000) : 3_000) + 400;
         Deployment.Allowed allowed = boot.deployment().allowed();
         comeBack = allowed.comeBack() ? (int) (allowed.longestComeBack() / 10) : 0;
     }
--- a/src/main/java/reedspring/net/Startup.java
+++ b/src/main/java/reedspring/net/Startup.java
@@ -27,6 +27,7 @@
 import org.tinylog.provider.ProviderRegistry;
 import reedspring.boot.Boot;
 import reedspring.boot.BootException;
+import sun.misc.Signal;
 
 /** Reads the configuration, brings the front up on its loop, and takes it down when the platform says so. */
 public final class Startup {
@@ -66,11 +67,15 @@
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
         AtomicReference<Front> raised = new AtomicReference<>();
+        AtomicReference<Journal> journal = new AtomicReference<>();
+        String path = environment.get("RELAY_CONFIG");
         Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(loop, raised.get())));
+        // The JVM would end on SIGHUP. It hands a signal to a thread of its own, several one after another.
+        Signal.handle(new Signal("HUP"), signal -> reload(loop, raised.get(), journal.get(), path));
         try {
-            Orders orders = Orders.read(environment.get("RELAY_CONFIG"));
-            Front front = loop.submit(() -> raise(loop, orders)).get();
-            raised.set(front);
+            Orders orders = Orders.read(path);
+            journal.set(loop.submit(() -> raise(loop, orders, raised)).get());
+            Front front = raised.get();
             ChannelFuture bound = server(group, front, orders.limits()).bind(orders.listen());
             if (!bound.awaitUninterruptibly().isSuccess()) {
                 System.err.println("reedspring: listen: " + bound.cause().getMessage());
@@ -90,12 +95,38 @@
         }
     }
 
-    private static Front raise(EventLoop loop, Orders orders) throws BootException {
+    private static Journal raise(EventLoop loop, Orders orders, AtomicReference<Front> raised)
+            throws BootException {
         Front front = new Front(loop, orders.boot(), orders.limits(), orders.seed());
+        raised.set(front);
         Journal journal = new Journal(loop, front, orders.limits(), orders.journal(), ~orders.seed());
         journal.known(orders.known());
         journal.follow();
-        return front;
+        return journal;
+    }
+
+    /**
+     * Takes over the journal service's address, the one thing that can change under a front that serves: the
+     * rest is what its decisions and limits were made from. A file that can't be used changes nothing.
+     */
+    private static void reload(EventLoop loop, Front front, Journal journal, String path) {
+        if (journal == null) {
+            // Not up yet: the file is read at the start, or has just been read.
+            return;
+        }
+        try {
+            InetSocketAddress service = Orders.read(path).journal();
+            loop.execute(() -> {
+                front.log().line("configuration read again, journal at", service.toString());
+                journal.move(service);
+            });
+        } catch (BootException e) {
+            // A kind of its own for each fault, so that each is named.
+            String line = "configuration can't be used, nothing changed: " + e.getMessage();
+            loop.execute(() -> front.log().line(line, ""));
+        } catch (RuntimeException e) {
+            loop.execute(() -> front.log().fault("configuration can't be used, nothing changed", e));
+        }
     }
 
     /** Runs as a shutdown hook, on SIGTERM: holds the end up until the front has left, and makes it a 0. */
--- a/src/test/java/reedspring/House.java
+++ b/src/test/java/reedspring/House.java
@@ -16,6 +16,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -532,6 +533,12 @@
             accepted.get(accepted.size() - 1).getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
         }
 
+        /** Whether the caller has ended its call. */
+        public boolean ended(int call) throws IOException {
+            accepted.get(call).setSoTimeout((int) PATIENCE_S * 1000);
+            return accepted.get(call).getInputStream().read() < 0;
+        }
+
         /** One event that lists engines: name, address, state, and so on. */
         public static String event(int pos, boolean whole, String... hosts) {
             return "{\"pos\":" + pos + ",\"hosts\":{\"seq\":" + pos + ",\"whole\":" + whole + ",\"hosts\":["
@@ -549,6 +556,7 @@
         public final Process process;
         public final List<String> log = new CopyOnWriteArrayList<>();
         public final String listen;
+        private final Path file;
 
         public Program(String config) throws IOException {
             this(config, run());
@@ -556,7 +564,7 @@
 
         private Program(String config, String run) throws IOException {
             this.listen = config.replaceAll(".*\"listen\":\"([^\"]*)\".*", "$1");
-            Path file = Files.createTempFile("reedspring", ".json");
+            file = Files.createTempFile("reedspring", ".json");
             file.toFile().deleteOnExit();
             Files.writeString(file, config);
             ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run).redirectErrorStream(true);
@@ -582,6 +590,19 @@
             return this;
         }
 
+        public void signal(String name) throws IOException, InterruptedException {
+            String pid = Long.toString(process.pid());
+            require(new ProcessBuilder("kill", name, pid).start().waitFor() == 0, "no " + name, null);
+        }
+
+        /** Puts another configuration in place, as a whole, and tells the front. */
+        public void reload(String config) throws IOException, InterruptedException {
+            Path next = Files.createTempFile("reedspring", ".json");
+            Files.writeString(next, config);
+            Files.move(next, file, StandardCopyOption.REPLACE_EXISTING);
+            signal("-HUP");
+        }
+
         public boolean logged(String text) {
             return log.stream().anyMatch(line -> line.contains(text));
         }
--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -487,6 +487,90 @@
         assertTrue(front.logged("journal silent"), front.log::toString);
     }
 
+    @Example
+    void onSighupItFollowsTheJournalAtItsNewAddressAndServesOn() throws Exception {
+        EngineStandIn slow = open(new EngineStandIn(command -> {
+            if (!command.words().get(command.words().size() - 1).equals("slow")) {
+                EngineStandIn.pages(1).accept(command);
+            }
+        }));
+        start(slow);
+        await("the call", () -> journal.calledFrom.equals(List.of("1")));
+        Client client = client().send(Client.query(1, Client.trace(), 9_000, "slow"));
+        await("the query at the engine", () -> slow.seen("fetch").size() == 1);
+        String config = Program.config(front.listen, journal.address());
+        JournalStandIn next = open(new JournalStandIn());
+        front.reload(config.replace(journal.address(), next.address()));
+        await("the call at the new address", () -> next.calledFrom.equals(List.of("1")));
+        assertTrue(journal.ended(0), "the old stream is dropped");
+        for (String bad : List.of("{", config.replace("journal", "other"),
+                config.replace("\"sockets\"", "\"x\""))) {
+            front.log.clear();
+            front.reload(bad);
+            await("a line that names the field", () -> front.log.stream().anyMatch(line -> line.matches(
+                    ".*nothing changed: (RELAY_CONFIG|journal|limits.sockets): .*")));
+            front.log.clear();
+        }
+        // Several in a row, while the journal is being called.
+        JournalStandIn last = open(new JournalStandIn());
+        for (int k = 0; k < 5; k++) {
+            front.reload(config.replace(journal.address(), k < 4 ? Program.freeAddress() : last.address()));
+        }
+        await("the call at the last address", () -> !last.calledFrom.isEmpty());
+        EngineStandIn added = engine(1);
+        last.send("id: 2\ndata: " + event(2, true, host("e9", added.address(), "ready")) + "\n\n");
+        await("the new engine in use", () -> {
+            try {
+                serves();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+            return !added.seen.isEmpty();
+        });
+        EngineStandIn.pages(1).accept(slow.seen("fetch").get(0));
+        assertEquals(EngineStandIn.page(slow.seen("fetch").get(0).id(), 0), Client.rows(client.read()));
+        front.signal("-HUP");
+        front.signal("-TERM");
+        front.signal("-HUP");
+        assertTrue(front.process.waitFor(10, TimeUnit.SECONDS));
+        assertEquals(0, front.process.exitValue(), front.log::toString);
+    }
+
+    @Example
+    void bytesThatTrickleAreNoSignOfLifeFromTheJournal() throws Exception {
+        start(engine(1));
+        await("the call", () -> journal.calledFrom.size() == 1);
+        long since = System.nanoTime();
+        while (journal.calledFrom.size() == 1 && System.nanoTime() - since < 6_000_000_000L) {
+            try {
+                journal.send("d");
+            } catch (IOException e) {
+                // it has been dropped
+            }
+            Thread.sleep(100);
+        }
+        assertEquals(List.of("1", "1"), journal.calledFrom);
+        assertTrue(System.nanoTime() - since < 3_500_000_000L, "it counts as told 4 s after a stop");
+    }
+
+    /** SIGKILL comes 0.7 s past the longest queue timeout of the settings. */
+    @Example
+    void theEndComesBeforeSigkillWhereQueueTimeoutsAreShort() throws Exception {
+        EngineStandIn silent = silentEngine();
+        journal = open(new JournalStandIn());
+        String config = Program.config(Program.freeAddress(), journal.address(),
+                event(1, true, host("e0", silent.address(), "ready")));
+        front = open(new Program(config.replace("\"aimMs\"", "\"deadlineMs\":1200.0,\"aimMs\"")))
+                .ready();
+        Client client = client().send(Client.query(1, Client.trace(), 2_400, "select"));
+        await("the query at the engine", () -> silent.seen("fetch").size() == 1);
+        long term = System.nanoTime();
+        front.signal("-TERM");
+        assertNotEquals(null, Client.error(client.read()));
+        assertTrue(front.process.waitFor(10, TimeUnit.SECONDS));
+        assertTrue(System.nanoTime() - term < 1_900_000_000L, "SIGKILL would have come");
+    }
+
     @Example
     void onSigtermItServesOnAnswersAllAndEndsWithZero() throws Exception {
         EngineStandIn engine = open(new EngineStandIn(command -> {
@@ -518,12 +602,12 @@
         start(engine);
         serves();
         Client client = client();
-        signal("-STOP");
+        front.signal("-STOP");
         long stopped = System.nanoTime();
         client.send(Client.query(1, Client.trace(), PATIENCE, "select"),
                 Client.query(2, Client.trace(), 100, "too late"));
         await("a second", () -> System.nanoTime() - stopped > 1_000_000_000L);
-        signal("-CONT");
+        front.signal("-CONT");
         Map<Long, List<?>> answers = client.read(2);
         assertTrue(Client.rows(answers.get(1L)) != null);
         assertEquals(List.of("Shed", List.of("pause", "499")), answers.get(2L).get(2));
@@ -533,18 +617,13 @@
         assertTrue(Integer.parseInt(ttl) < PATIENCE - 900, ttl);
     }
 
-    private void signal(String name) throws Exception {
-        String pid = Long.toString(front.process.pid());
-        assertEquals(0, new ProcessBuilder("kill", name, pid).start().waitFor());
-    }
-
     @Example
     void killedAndStartedAgainItServesAtItsAddress() throws Exception {
         EngineStandIn engine = silentEngine();
         start(engine);
         client().send(Client.query(1, Client.trace(), PATIENCE, "lost with it"));
         await("the query at the engine", () -> engine.seen("fetch").size() == 1);
-        signal("-KILL");
+        front.signal("-KILL");
         assertTrue(front.process.waitFor(20, TimeUnit.SECONDS));
         EngineStandIn good = engine(1);
         front = open(new Program(Program.config(front.listen, journal.address(),
