Spread submissions over connections; end those on which an answer stops short

Read off the code: an answer that stops short leaves its connection open, all later answers on it are taken for its rest, and nothing ended it; up to 32 queries shared one connection, and a spoilt answer made all of them unclear; pages with any bytes went to clients; 'done' went to engines for ids that they had never been given.

EngineConnection counts what comes against what has come whole and ends a connection on which an answer stands begun for three looks; pages have to be whole rows of three columns. Engines picks the connection with least out on it and dials another while there is room. Test seen to fail without it: stops short, spoilt in six ways, more than belongs.

--- a/src/main/java/reedspring/net/AnswerDecoder.java
+++ b/src/main/java/reedspring/net/AnswerDecoder.java
@@ -21,6 +21,8 @@
  */
 final class AnswerDecoder extends ChannelInboundHandlerAdapter {
     private static final int PARTS = 4;
+    private static final int HEAD_BYTES = "*4\r\n".length();
+    private static final int FRAME_BYTES = "$\r\n\r\n".length();
 
     private final Limits limits;
     private final ByteBuf[] parts = new ByteBuf[PARTS];
@@ -28,11 +30,18 @@
     private int came;
     private ByteBuf part = Unpooled.EMPTY_BUFFER;
     private int partBytes;
+    private int answerBytes;
+    private long bytes;
 
     AnswerDecoder(Limits limits) {
         this.limits = limits;
     }
 
+    /** The bytes of all that has come whole, as engines write it. */
+    long bytes() {
+        return bytes;
+    }
+
     /** The body is the receiver's to release. */
     record Answer(String id, String word, Map<String, String> fields, ByteBuf body) {
     }
@@ -51,6 +60,7 @@
                     throw new CorruptedFrameException("an answer is an array of " + PARTS);
                 }
                 wanted = PARTS;
+                answerBytes = HEAD_BYTES;
             } else if (wanted == 0) {
                 throw new CorruptedFrameException("an answer begins with an array");
             } else if (message instanceof BulkStringHeaderRedisMessage header) {
@@ -92,11 +102,13 @@
 
     private void end(ChannelHandlerContext ctx, ByteBuf whole) {
         parts[came++] = whole;
+        answerBytes += FRAME_BYTES + Integer.toString(whole.readableBytes()).length() + whole.readableBytes();
         if (came < wanted) {
             return;
         }
         wanted = 0;
         came = 0;
+        bytes += answerBytes;
         Answer answer = new Answer(text(0), text(1), fields(text(2)), parts[3]);
         parts[3] = null;
         ctx.fireChannelRead(answer);
--- a/src/main/java/reedspring/net/EngineConnection.java
+++ b/src/main/java/reedspring/net/EngineConnection.java
@@ -31,6 +31,8 @@
 final class EngineConnection extends ChannelInboundHandlerAdapter {
     private static final Set<String> LAST_WORDS = Set.of("data", "full", "failed", "moot");
 
+    private static final int COLUMNS = 3;
+
     private final Front front;
     private final Limits limits;
     private final String engine;
@@ -40,7 +42,11 @@
     private final Set<String> spent = new LinkedHashSet<>();
     /** Those of them that the engine may still be at work on. */
     private final Set<String> running = new LinkedHashSet<>();
+    private final AnswerDecoder decoder;
     private Channel channel;
+    private long bytes;
+    private long partBytes;
+    private int partTicks;
     private boolean up;
     private boolean retired;
     private String lost = "closed by the engine";
@@ -53,6 +59,7 @@
         this.limits = limits;
         this.engine = engine;
         this.ended = ended;
+        this.decoder = new AnswerDecoder(limits);
         this.lastUsedAt = front.clock().now();
     }
 
@@ -62,7 +69,7 @@
             @Override
             protected void initChannel(Channel made) {
                 made.pipeline().addLast(new FlushConsolidationHandler(limits.flushes, true),
-                        new RedisEncoder(), new RedisDecoder(), new AnswerDecoder(limits), self);
+                        new RedisEncoder(), new Counter(), new RedisDecoder(), decoder, self);
             }
         }).connect(address);
         channel = dialled.channel();
@@ -76,6 +83,19 @@
         });
     }
 
+    /** Counts what comes, so that an answer which has come in part shows. */
+    private final class Counter extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            bytes += ((ByteBuf) message).readableBytes();
+            ctx.fireChannelRead(message);
+        }
+    }
+
+    int load() {
+        return open.size();
+    }
+
     boolean takes(Submission s) {
         // What is still to come here of an earlier submission could not be told from this one's: an answer
         // has only the query's id, and pages of two runs must not end up in one result.
@@ -167,12 +187,27 @@
         if (open.isEmpty() && running.isEmpty() && now - lastUsedAt >= limits.engineIdle * 10L) {
             close();
         }
+        if (up && stopsShort()) {
+            front.log().line("engine connection closed, an answer does not end", engine);
+            close();
+        }
         if (up && !open.isEmpty() && askedAt < 0 && now - heardAt >= limits.engineSilence * 10L) {
             askedAt = now;
             command(null, "alive", "front");
         }
     }
 
+    /**
+     * Whether an answer stands begun and unfinished for some looks: all that comes behind it would be taken
+     * for its rest, so nothing that is out here can end any more.
+     */
+    private boolean stopsShort() {
+        boolean same = bytes != decoder.bytes() && partBytes == decoder.bytes();
+        partBytes = decoder.bytes();
+        partTicks = same ? partTicks + 1 : 0;
+        return partTicks > limits.partTicks;
+    }
+
     private void close() {
         retired = true;
         if (channel != null) {
@@ -202,11 +237,12 @@
             heardAt = lastUsedAt;
             askedAt = -1;
             Submission s = open.get(answer.id());
+            boolean late = spent.contains(answer.id());
             if (s == null && LAST_WORDS.contains(answer.word()) && running.remove(answer.id())) {
                 spent.remove(answer.id());
             }
             switch (answer.word()) {
-                case "data" -> data(s, answer);
+                case "data" -> data(s, answer, late);
                 case "page" -> page(s, answer);
                 case "full" -> over(s, Outcome.TURNED_AWAY);
                 case "failed" -> over(s, Outcome.ERROR);
@@ -236,14 +272,14 @@
         }
     }
 
-    private void data(Submission s, AnswerDecoder.Answer answer) {
+    private void data(Submission s, AnswerDecoder.Answer answer, boolean late) {
         double sheets = figure(answer, "sheets", 1);
         if (!(sheets >= 1 && sheets <= limits.pages)) {
             throw new CorruptedFrameException("a result of " + sheets + " pages");
         }
         if (s == null || s.pages != null) {
             // An engine that sends and does not read gets no more than its buffer holds.
-            if (s == null && sheets > 1 && channel.isWritable()) {
+            if (s == null && sheets > 1 && late && channel.isWritable()) {
                 command(null, "done", answer.id());
             }
             return;
@@ -286,6 +322,9 @@
         if (s.pages[at] != null) {
             return;
         }
+        if (!rows(page)) {
+            throw new CorruptedFrameException("a page that is no whole rows");
+        }
         s.pages[at] = page.retain();
         s.bytes += page.readableBytes();
         front.hold(page.readableBytes());
@@ -297,6 +336,25 @@
         }
     }
 
+    /** Text of three columns, each row ended: what is not can't be a page, whatever its frame says. */
+    private static boolean rows(ByteBuf page) {
+        int tabs = 0;
+        for (int k = page.readerIndex(); k < page.writerIndex(); k++) {
+            int c = page.getByte(k);
+            if (c == '\n') {
+                if (tabs != COLUMNS - 1) {
+                    return false;
+                }
+                tabs = 0;
+            } else if (c == '\t') {
+                tabs++;
+            } else if (c >= 0 && c < ' ') {
+                return false;
+            }
+        }
+        return !page.isReadable() || page.getByte(page.writerIndex() - 1) == '\n';
+    }
+
     private static double figure(AnswerDecoder.Answer answer, String field, double otherwise) {
         String value = answer.fields().get(field);
         try {
--- a/src/main/java/reedspring/net/Engines.java
+++ b/src/main/java/reedspring/net/Engines.java
@@ -6,6 +6,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -62,8 +63,14 @@
             return;
         }
         List<EngineConnection> open = link.connections.stream().filter(c -> c.takes(s)).toList();
-        EngineConnection best = open.stream().filter(c -> !c.doubtful()).findFirst().orElse(null);
-        if (best == null && !mayDial(link)) {
+        // One spoilt answer ends all that is out on its connection, so each carries as little as may be.
+        EngineConnection best = open.stream().filter(c -> !c.doubtful())
+                .min(Comparator.comparingInt(EngineConnection::load)).orElse(null);
+        boolean room = mayDial(link);
+        if (best != null && best.load() > 0 && room) {
+            best = null;
+        }
+        if (best == null && !room) {
             front.log().line("engine connections at their limit", engine.address());
             if (open.isEmpty()) {
                 front.closed(s, Event.Outcome.UNREACHABLE);
--- a/src/main/java/reedspring/net/Limits.java
+++ b/src/main/java/reedspring/net/Limits.java
@@ -54,6 +54,8 @@
     final int engineIdle;
     /** After which a connection that owes answers is asked whether it works. */
     final int engineSilence = 1_000;
+    /** Looks for which an answer may stand begun before its connection is given up. */
+    final int partTicks = 2;
 
     // The journal service. It says something each second, and counts as having told what it has 2 s after a
     // break and 4 s after a stop.
--- a/src/test/java/reedspring/House.java
+++ b/src/test/java/reedspring/House.java
@@ -361,6 +361,8 @@
     abstract static class Server implements Closeable {
         final ServerSocket socket;
         public final List<Socket> accepted = new CopyOnWriteArrayList<>();
+        /** Those that the other side has ended. */
+        public final List<Socket> left = new CopyOnWriteArrayList<>();
 
         Server(int port) throws IOException {
             socket = new ServerSocket(port, 64, InetAddress.getLoopbackAddress());
@@ -369,7 +371,13 @@
                     Socket next = socket.accept();
                     next.setTcpNoDelay(true);
                     accepted.add(next);
-                    background(() -> serve(next));
+                    background(() -> {
+                        try {
+                            serve(next);
+                        } catch (IOException e) {
+                            left.add(next);
+                        }
+                    });
                 }
             });
         }
--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -294,7 +294,7 @@
         // The connection's later messages show that the revoke has been read before the result comes.
         client.send(Client.query(2, Client.trace(), PATIENCE, "select 2"));
         assertEquals(2L, client.read().get(1));
-        held.get(0).answer("data", "sheets=4", "row\n");
+        held.get(0).answer("data", "sheets=4", "a\tlate\trow\n");
         await("that no more pages are wanted", () -> engine.seen("done").size() == 1);
         client.send(Client.pack(List.of(2, "revoke", List.of(2))),
                 Client.query(3, Client.trace(), PATIENCE, "select 3"));
@@ -397,9 +397,9 @@
             return engine.seen("abort").size() == 1;
         });
         await("the second run", () -> engine.seen("fetch").size() == 2);
-        engine.seen("fetch").get(0).answer("data", "sheets=1", "of the first run\n");
-        engine.seen("fetch").get(1).answer("data", "sheets=1", "of the second run\n");
-        assertEquals("of the second run\n", Client.rows(client.read()));
+        engine.seen("fetch").get(0).answer("data", "sheets=1", "of\tthe first\trun\n");
+        engine.seen("fetch").get(1).answer("data", "sheets=1", "of\tthe second\trun\n");
+        assertEquals("of\tthe second\trun\n", Client.rows(client.read()));
     }
 
     @Example
@@ -445,8 +445,53 @@
                 .allMatch(a -> a.get(2) == null || "Shed".equals(Client.error(a))));
         assertTrue(silent.seen.size() + good.seen("fetch").size() >= 16);
         assertTrue(silent.seen("abort").isEmpty(), "cancels are not allowed");
-        assertEquals(1, silent.accepted.size(), "nor by closing");
-        assertFalse(silent.accepted.get(0).isClosed());
+        assertTrue(silent.left.isEmpty(), "nor by closing");
+    }
+
+    /** Spoilt answers cost their own connection, on which as little as may be is out; good ones go on. */
+    @Example
+    void anAnswerThatStopsShortOrIsSpoiltCostsItsOwnQuerysConnectionOnly() throws Exception {
+        AtomicInteger fetches = new AtomicInteger();
+        List<String> spoilt = List.of("*4\r\n$16\r\n", "*4\r\n$3000000000\r\nx", "*4\r\n$4\r\n\u0000\u0001",
+                "*4\r\n$16\r\n%s\r\n$4\r\ndata\r\n$8\r\nsheets=1\r\n$9\r\nno\trows\u0002x\r\n",
+                "*4\r\n$16\r\n%s\r\n$4\r\ndata\r\n$8\r\nsheets=1\r\n$12\r\na\tb\tc\ncut\tof\r\n",
+                "x".repeat(100_000));
+        List<EngineStandIn.Command> open = new java.util.concurrent.CopyOnWriteArrayList<>();
+        EngineStandIn engine = open(new EngineStandIn(command -> {
+            if (command.word().equals("fetch") && command.words().get(3).equals("waits")) {
+                open.add(command);
+            } else if (command.word().equals("fetch") && fetches.get() < spoilt.size()) {
+                command.answerRaw(spoilt.get(fetches.getAndIncrement()).replace("%s", command.id()));
+            } else {
+                // More than belongs to it: one ahead under an unknown id, and a second copy.
+                String stranger = Client.trace();
+                new EngineStandIn.Command(List.of("fetch", stranger), command.from())
+                        .answer("data", "sheets=3", EngineStandIn.page(stranger, 0));
+                EngineStandIn.pages(2).accept(command);
+                EngineStandIn.pages(2).accept(command);
+            }
+        }));
+        start(engine);
+        String waits = Client.trace();
+        Client first = client().send(Client.query(1, waits, 4_000, "waits"));
+        await("it at the engine", () -> open.size() == 1);
+        Client client = client();
+        for (int id = 1; id <= spoilt.size(); id++) {
+            String trace = Client.trace();
+            String rows = Client.rows(client.send(Client.query(id, trace, 3_000, "select")).read());
+            assertTrue(rows == null || rows.equals(EngineStandIn.page(trace, 0)
+                    + EngineStandIn.page(trace, 1)), rows);
+        }
+        assertEquals(spoilt.size(), fetches.get());
+        String trace = Client.trace();
+        assertEquals(EngineStandIn.page(trace, 0) + EngineStandIn.page(trace, 1),
+                Client.rows(client.send(Client.query(90, trace, 3_000, "select")).read()));
+        assertFalse(engine.left.contains(open.get(0).from()));
+        EngineStandIn.pages(1).accept(open.get(0));
+        assertEquals(EngineStandIn.page(waits, 0), Client.rows(first.read()));
+        assertTrue(front.logged("an answer does not end"), front.log::toString);
+        assertTrue(engine.seen("done").stream().noneMatch(c -> engine.seen("fetch").stream()
+                .noneMatch(f -> f.id().equals(c.id()))), "of an id that it was never given");
     }
 
     @Example
@@ -472,7 +517,7 @@
             }
         });
         assertEquals(2, engine.accepted.size());
-        assertFalse(cut.get().isClosed(), "what is out there is not given up");
+        assertFalse(engine.left.contains(cut.get()), "what is out there is not given up");
     }
 
     @Example
@@ -492,7 +537,7 @@
     void anEngineThatEndsWithPagesMissingServesNothing() throws Exception {
         EngineStandIn engine = open(new EngineStandIn(command -> {
             if (command.word().equals("fetch")) {
-                command.answer("data", "sheets=3", "a third\n");
+                command.answer("data", "sheets=3", "a\tthird\tof it\n");
             } else if (command.word().equals("more") && command.words().get(2).equals("1")) {
                 command.answer("failed", "-", "");
             }
