Write the last answers before the end; four submissions share a connection

Checked: no close of the front's own is silent, so it was the end itself. Front.leaveLater counted what it answered at the last as done in the same turn, in which nothing is flushed yet, and did not wait for what clients had not taken.

--- a/src/main/java/reedspring/net/Engines.java
+++ b/src/main/java/reedspring/net/Engines.java
@@ -63,11 +63,12 @@
             return;
         }
         List<EngineConnection> open = link.connections.stream().filter(c -> c.takes(s)).toList();
-        // One spoilt answer ends all that is out on its connection, so each carries as little as may be.
+        // One spoilt answer ends all that is out on its connection, so each carries little. One for each
+        // submission would cost a starting front more than it saves.
         EngineConnection best = open.stream().filter(c -> !c.doubtful())
                 .min(Comparator.comparingInt(EngineConnection::load)).orElse(null);
         boolean room = mayDial(link);
-        if (best != null && best.load() > 0 && room) {
+        if (best != null && best.load() >= limits.sharedBy && room) {
             best = null;
         }
         if (best == null && !room) {
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -396,8 +396,10 @@
                 }
             }
         }
+        // What was answered in this turn is written only after it: the last answers need a look of their own.
         boolean done = queries.values().stream().allMatch(q -> q.answered)
-                && (last || clients.stream().noneMatch(ClientConnection::unsent));
+                && (clients.stream().noneMatch(ClientConnection::unsent)
+                        || gone >= (limits.leavingLongest + limits.leavingFlush) * 10L);
         if (gone >= limits.leavingQuiet * 10L && done) {
             log.once("left");
             log.sum();
--- a/src/main/java/reedspring/net/Limits.java
+++ b/src/main/java/reedspring/net/Limits.java
@@ -54,6 +54,8 @@
     final int engineIdle;
     /** After which a connection that owes answers is asked whether it works. */
     final int engineSilence = 1_000;
+    /** Submissions on one connection before another is dialled. */
+    final int sharedBy = 4;
     /** Looks for which an answer may stand begun before its connection is given up. */
     final int partTicks = 2;
 
@@ -69,6 +71,8 @@
     // which counts as 3 s where it is longer.
     final int leavingQuiet = 800;
     final int leavingLongest;
+    /** What clients may take after that to read their last answers. */
+    final int leavingFlush = 200;
 
     /** Between two looks at all connections. */
     final int tick = 250;
