Let queries that need less memory pass, reckon others' memory as own on average

Probe, counted at each pulse of a front: of the long heads that wait, 4 find no bound, 270 no room in the fleet's part of memory, 330 none on any engine (own part 14.7 of 49 GB, needs to 19 GB), and 4 to 5 a second go as 'backlog' though nothing would leave sooner for them. Ruled out: the bound (72 of 45 out), bars (none), stretch (0.5 to 0.8, factor 1).

Control: on engines that page, own memory on one may reach 0.9 less what others hold there, taken as own on average; one that finds no memory no longer holds up smaller ones of its tenant; what waits for memory is no backlog. Faults weigh against the median, as spoilt answers come from all alike. Rows are used again once nothing refers to them, and a free engine's memory is 0, not the rest of fractions.

Tests: four, each seen to fail without (7 out instead of 16 on faults alike, 1,500 rows held instead of 24 at most).

--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -85,6 +85,7 @@
     private Consumer<Action> out;
     private final long bornAt;
     private double usualPace;
+    private double usualFaults;
     private long now;
 
     // One row for each engine ever listed, under its dense index.
@@ -124,49 +125,29 @@
         } else if (event instanceof Event.Closed closed) {
             Query q = desk.queries.get(closed.query());
             if (q != null && q.outAt >= 0 && q.submissions - 1 == closed.submission().value()) {
-                post(fleet.get(q.outAt), new Ended(q, closed));
+                post(fleet.get(q.outAt), engine -> engine.ended(q, closed));
             }
         } else if (event instanceof Event.ShareDone share) {
             Query q = desk.queries.get(share.query());
             if (q != null && q.outAt >= 0 && q.submissions - 1 == share.submission().value()) {
-                post(fleet.get(q.outAt), new Progress(q, share.share()));
+                post(fleet.get(q.outAt), engine -> engine.progress(q, share.share()));
             }
         } else {
-            post(desk, new Word(event));
+            post(desk, part -> part.word(event));
         }
         for (Part part = turns.poll(); part != null; part = turns.poll()) {
-            part.read(part.inbox.poll());
+            part.inbox.poll().run();
         }
     }
 
     // ---- notes and parts
 
-    private sealed interface Note { }
-
-    private record Word(Event event) implements Note { }
-
-    private record Listed(Event.Listing listing) implements Note { }
-
-    private record Carry(Query query) implements Note { }
-
-    private record Ended(Query query, Event.Closed closed) implements Note { }
-
-    private record Progress(Query query, double share) implements Note { }
-
-    private record Charge(double work, int queries) implements Note { }
-
-    private record Lost(Query query) implements Note { }
-
-    private record Release() implements Note { }
-
     private abstract static class Part {
-        private final ArrayDeque<Note> inbox = new ArrayDeque<>();
-
-        abstract void read(Note note);
+        final ArrayDeque<Runnable> inbox = new ArrayDeque<>();
     }
 
-    private void post(Part to, Note note) {
-        to.inbox.add(note);
+    private <P extends Part> void post(P to, Consumer<P> note) {
+        to.inbox.add(() -> note.accept(to));
         turns.add(to);
     }
 
@@ -199,6 +180,7 @@
         private long ranSince;
         private boolean unclear;
         private boolean lost;
+        private boolean crowdedOut;
     }
 
     // ---- engines
@@ -207,18 +189,34 @@
         if (list.reading() != Event.Reading.CHANGES) {
             List<Id.Engine> named = list.entries().stream().map(Event.Listing::engine).toList();
             fleet.stream().filter(engine -> !named.contains(engine.id)).forEach(engine -> post(engine,
-                    new Listed(new Event.Listing(engine.id, engine.kind, engine.zone, engine.cell,
+                    part -> part.listed(new Event.Listing(part.id, part.kind, part.zone, part.cell,
                             Event.Health.GONE, 0))));
         }
         for (Event.Listing listing : list.entries()) {
             Engine engine = fleet.stream().filter(e -> e.id.equals(listing.engine())).findAny().orElse(null);
-            if (engine == null) {
-                engine = new Engine(listing, fleet.size());
-                fleet.add(engine);
+            if (engine == null && listing.health() != Event.Health.GONE) {
+                int at = freeRow();
+                engine = new Engine(listing, at);
+                fleet.subList(at, Math.min(at + 1, fleet.size())).clear();
+                fleet.add(at, engine);
+            }
+            if (engine != null) {
+                post(engine, part -> part.listed(listing));
             }
-            post(engine, new Listed(listing));
         }
-        post(desk, new Release());
+        post(desk, Desk::release);
+    }
+
+    /** A row to which nothing refers any more, or a new one: engines come and go while the front lives. */
+    private int freeRow() {
+        return IntStream.range(0, fleet.size()).filter(k -> fleet.get(k).gone && ownQueries[k] == 0
+                && fleet.get(k).ghosts.isEmpty() && desk.queries.values().stream().noneMatch(
+                        q -> q.avoid == k || q.ranAt == k)).findFirst().orElse(fleet.size());
+    }
+
+    /** How many rows, queries and keys are held, for those who watch that none is kept for good. */
+    int held() {
+        return fleet.size() + desk.queries.size() + desk.lanes.size();
     }
 
     /** A timed-out submission that an engine which heeds no cancel is still at work on. */
@@ -231,6 +229,7 @@
         private Id.Kind kind;
         private Id.Zone zone;
         private Id.Cell cell;
+        private boolean gone;
         private long bar = FIRST_BAR;
         private long heardAt;
         // In queries of the lightest group.
@@ -245,24 +244,14 @@
                 grow(at * 2);
             }
             pace[at] = Double.NaN;
+            startedAt[at] = 0;
+            faults[at] = 0;
+            barred[at] = false;
         }
 
-        @Override
-        void read(Note note) {
-            if (note instanceof Listed listed) {
-                listed(listed.listing());
-            } else if (note instanceof Carry carry) {
-                carry(carry.query());
-            } else if (note instanceof Progress) {
-                heardAt = now;
-                post(desk, note);
-            } else if (note instanceof Ended ended) {
-                ended(ended.query(), ended.closed());
-            } else if (note instanceof Lost lost) {
-                free(lost.query());
-            } else if (note instanceof Release) {
-                look();
-            }
+        private void progress(Query q, double share) {
+            heardAt = now;
+            post(desk, part -> part.progress(q, share));
         }
 
         private void listed(Event.Listing listing) {
@@ -270,6 +259,7 @@
             zone = listing.zone();
             cell = listing.cell();
             up[at] = listing.health() == Event.Health.UP;
+            gone = listing.health() == Event.Health.GONE;
             Deployment.Machine machine = house.machines().get(kind);
             // An engine of unknown size counts as the mean of the known kinds, or as one query's threads.
             cores[at] = machine != null && machine.cores() > 0 ? machine.cores()
@@ -335,12 +325,13 @@
                 bar = bad ? Math.min(LONGEST_BAR, bar * 2) : bar;
                 barredUntil[at] = now + bar;
             }
-            post(desk, new Ended(q, closed));
+            post(desk, part -> part.back(q, closed));
         }
 
         private void free(Query q) {
             ownThreads[at] -= q.threads;
-            ownMemory[at] -= q.needMb;
+            // Sums of fractions leave a rest, and on a free engine any query fits.
+            ownMemory[at] = ownThreads[at] <= 0 ? 0 : ownMemory[at] - q.needMb;
         }
 
         private void pace(double threadTime, double work) {
@@ -374,12 +365,10 @@
             }
         }
 
-        /**
-         * Whether a usual query of the group fits into this front's part of what a cold engine stands. The
+        /** Whether a usual query of the group fits into this front's part of what a cold engine stands. The
          * part fills over the window, from a start that chance sets: hundreds of fronts whose part is under
          * one query take turns. A front that has just started can't know what it sent before, and sends
-         * nothing for a window.
-         */
+         * nothing for a window. */
         private boolean coldRoom(Query q) {
             if (!cold(at) || now - bornAt < house.coldStart().window()) {
                 return !cold(at);
@@ -434,7 +423,7 @@
         if (!Double.isNaN(pace[at])) {
             part *= Math.max(0.15, Math.min(1, SLOWER / Math.exp(pace[at] - usualPace)));
         }
-        return cores[at] * part * (1 - faults[at]);
+        return cores[at] * part * (1 - Math.max(0, faults[at] - usualFaults));
     }
 
     // ---- tenants
@@ -457,15 +446,12 @@
             rate = known != null ? known.queriesPerSecond() / house.fronts() : 0;
         }
 
-        @Override
-        void read(Note note) {
-            if (note instanceof Charge charge) {
-                usage();
-                beyondShare();
-                allowance = Math.max(-2 * rate, allowance - charge.queries());
-                slots[(int) (slot % USAGE_SLOTS)] += charge.work();
-                sum += charge.work();
-            }
+        private void charge(double work, int queries) {
+            usage();
+            beyondShare();
+            allowance = Math.max(-2 * rate, allowance - queries);
+            slots[(int) (slot % USAGE_SLOTS)] += work;
+            sum += work;
         }
 
         private double usage() {
@@ -522,6 +508,8 @@
         // Over the share by one query at the start: shares of one or two long queries leave engines idle.
         private double grown;
         private double memoryRoom;
+        private double othersMemory;
+        private boolean crowded;
         private boolean idle;
         // What stood unused lately of the bound and of the part of memory, over time.
         private double unusedThreads;
@@ -537,19 +525,6 @@
             soonest = house.groups().stream().mapToLong(g -> g.targetBase()).min().orElse(SECOND);
         }
 
-        @Override
-        void read(Note note) {
-            if (note instanceof Word word) {
-                word(word.event());
-            } else if (note instanceof Ended ended) {
-                back(ended.query(), ended.closed());
-            } else if (note instanceof Progress progress) {
-                progress(progress.query(), progress.share());
-            } else if (note instanceof Release) {
-                release();
-            }
-        }
-
         private void word(Event event) {
             if (event instanceof Event.Taken taken) {
                 take(taken);
@@ -661,6 +636,8 @@
             idle = room >= bound;
             memoryPart = share() * (house.pages() ? 1 : 1 + grown / (bound / factor - grown));
             memoryRoom = overOpen(k -> memoryMb[k] * memoryPart * MEMORY_PART - ownMemory[k]);
+            othersMemory = (1 / memoryPart - 1) * overOpen(k -> ownMemory[k])
+                    / Math.max(1, overOpen(k -> memoryMb[k]));
             boolean mixed = Arrays.stream(waitingIn).filter(count -> count > 0).count() > 1;
             for (Purse purse : inOrder()) {
                 // While others wait, one group leaves them a part of the bound: in a line in arrival order
@@ -669,9 +646,10 @@
                 for (int k = 0; mixed && k < groupThreads.length; k++) {
                     blocked |= groupThreads[k] > bound * MOST_OF_ONE_GROUP ? 1 << Math.min(k, 30) : 0;
                 }
+                double unfitMb = Double.MAX_VALUE;
                 for (Query q : purse.line) {
                     // The ration is asked again: it may have shrunk since the query came back here.
-                    if ((blocked & 1 << Math.min(q.group, 30)) != 0
+                    if ((blocked & 1 << Math.min(q.group, 30)) != 0 || q.needMb >= unfitMb
                             || q.submissions > 0 && !mayRepeat(q, false)) {
                         continue;
                     }
@@ -686,11 +664,14 @@
                         unusedThreads -= over ? cost : 0;
                         unusedMemory -= q.needMb > memoryRoom ? q.needMb * expected(q) : 0;
                         send(q, at);
-                        post(this, new Release());
+                        post(this, Desk::release);
                         return;
                     }
-                    // No engine of its own takes it; a query of another group may still leave.
-                    blocked |= 1 << Math.min(q.group, 30);
+                    // No engine of its own takes it; a query of another group may still leave, and where
+                    // memory is what lacks, one that needs less: large ones would hold up all behind them.
+                    q.crowdedOut = crowded;
+                    unfitMb = crowded ? q.needMb : unfitMb;
+                    blocked |= crowded ? 0 : 1 << Math.min(q.group, 30);
                 }
             }
         }
@@ -720,9 +701,14 @@
         /** The engine with fewest own threads for each core of those that can take the query, or -1. */
         private int choose(Query q) {
             int best = -1;
+            crowded = false;
             double least = Double.MAX_VALUE;
             for (int k = 0; k < fleet.size(); k++) {
-                if (!allowed(q, k) || !fleet.get(k).coldRoom(q) || !barred[k] && !memoryFits(q, k)) {
+                if (!allowed(q, k) || !fleet.get(k).coldRoom(q)) {
+                    continue;
+                }
+                if (!barred[k] && !memoryFits(q, k)) {
+                    crowded = house.pages();
                     continue;
                 }
                 if (barred[k] && trial(q, k)) {
@@ -757,14 +743,13 @@
                     : ran.cell.equals(engine.cell);
         }
 
-        /**
-         * Own needs stay under this front's part of the engine's memory and of the fleet's. By engine alone
-         * hundreds of fronts with one query on each would overfill them all.
-         */
+        /** Own needs stay under this front's part of the engine's memory and of the fleet's. By engine alone
+         * hundreds of fronts with one query on each would overfill them all. */
         private boolean memoryFits(Query q, int k) {
             return memoryMb[k] <= 0 || (!house.pages() || q.needMb <= memoryRoom || idle
                     || q.needMb * expected(q) <= unusedMemory)
-                    && (ownMemory[k] <= 0 || ownMemory[k] + q.needMb <= memoryMb[k] * memoryPart * 0.9);
+                    && (ownMemory[k] <= 0 || ownMemory[k] + q.needMb <= memoryMb[k]
+                            * Math.max(memoryPart * 0.9, house.pages() ? 0.9 - othersMemory : 0));
         }
 
         /** The way back: a barred engine gets one query that could still be run elsewhere in time. */
@@ -798,8 +783,9 @@
             q.notedAt = now;
             q.share = 0;
             q.overdueAt = now + (long) (2 * expected(q));
-            post(fleet.get(at), new Carry(q));
-            post(purses[q.tenant], new Charge(q.work, q.submissions == 1 ? 1 : 0));
+            post(fleet.get(at), engine -> engine.carry(q));
+            int first = q.submissions == 1 ? 1 : 0;
+            post(purses[q.tenant], purse -> purse.charge(q.work, first));
         }
 
 
@@ -818,7 +804,7 @@
             double used = closed.work() > 0 ? closed.work() : q.told ? q.work : closed.took() * q.threads;
             double owed = outcome.neverRan() ? 0
                     : outcome == Outcome.FINISHED ? used : Math.min(used, closed.took() * q.threads);
-            post(purses[q.tenant], new Charge(owed - q.work, 0));
+            post(purses[q.tenant], purse -> purse.charge(owed - q.work, 0));
             q.answered |= closed.over();
             if (q.answered) {
                 leave(q);
@@ -829,7 +815,7 @@
             } else {
                 giveUp(q);
             }
-            post(this, new Release());
+            post(this, Desk::release);
         }
 
         private void learn(Query q, Event.Closed closed) {
@@ -855,10 +841,8 @@
             }
         }
 
-        /**
-         * What was seen of how a run takes against its work. One step moves the stretch by little, whatever
-         * it shows: bad plans and lost answers say nothing of the load.
-         */
+        /** What was seen of how a run takes against its work. One step moves the stretch by little, whatever
+         * it shows: bad plans and lost answers say nothing of the load. */
         private void felt(double ran, double work, double weight) {
             double step = Math.log(Math.max(1, ran) / Math.max(1, work)) - stretch;
             step = Math.max(-ONE_STEP, Math.min(ONE_STEP, step));
@@ -979,14 +963,15 @@
             lanes.values().removeIf(lane -> lane.turn.isEmpty() && now >= lane.restsUntil);
             lanes.values().forEach(this::call);
             usualPace = median(pace);
-            fleet.forEach(engine -> post(engine, new Release()));
+            usualFaults = median(faults);
+            fleet.forEach(engine -> post(engine, Engine::look));
             sweep();
             double most = UNUSED_KEPT * Arrays.stream(usualWork).max().orElse(0)
                     * Math.exp(Math.max(0, stretch));
             double perCore = overOpen(k -> memoryMb[k]) / Math.max(1, overOpen(k -> cores[k]));
             unusedThreads = Math.min(most, unusedThreads + PULSE * Math.max(0, bound() - threadsOut()));
             unusedMemory = Math.min(most * perCore, unusedMemory + PULSE * Math.max(0, memoryRoom));
-            post(this, new Release());
+            post(this, Desk::release);
         }
 
         /** Defers what can't end in time and, of too much waiting, the least value for its work. */
@@ -1007,11 +992,12 @@
                         // still, which a bar answers. Held until its time-out it would shut the gate.
                         q.lost = true;
                         groupThreads[q.group] -= q.threads;
-                        post(fleet.get(q.outAt), new Lost(q));
+                        post(fleet.get(q.outAt), engine -> engine.free(q));
                     }
                 } else if (now >= q.leavesAt - LAST_CALL || now + expected(q) > q.target) {
                     giveUp(q);
-                } else {
+                } else if (!q.crowdedOut) {
+                    // Others would not leave sooner for one that waits for memory.
                     held.add(q);
                     backlog += q.work;
                 }
--- a/src/test/java/reedspring/ControlTest.java
+++ b/src/test/java/reedspring/ControlTest.java
@@ -126,6 +126,80 @@
         assertTrue(Math.abs(10 - first) <= 2, "evenly spread: " + first);
     }
 
+    /** Where engines page, a large query that finds no memory must not hold up smaller ones of its tenant. */
+    @Example
+    void aQueryThatNeedsLessMemoryPassesOneThatFindsNone() {
+        House house = calm(1, plain());
+        house.take(1, 0, 500_000, 50 * SECOND, null);
+        Held large = house.take(1, 0, 400_000, 50 * SECOND, null);
+        Held small = house.take(1, 0, 10_000, 50 * SECOND, null);
+        assertTrue(large.out == null && small.out != null);
+        // What waits for memory only is no backlog that others would wait for.
+        house.pass(SECOND);
+        assertFalse(large.answered);
+    }
+
+    /** Others' memory on an engine is as much as this front's on average, not always their whole part. */
+    @Example
+    void anEngineTakesMoreThanOnePartOfItsMemoryWhileTheFleetHasRoom() {
+        House house = calm(2, plain());
+        house.take(1, 0, 500_000, 50 * SECOND, null);
+        house.take(1, 0, 500_000, 50 * SECOND, null);
+        assertEquals(2, house.submits.stream().map(Action.Submit::engine).distinct().count());
+        assertTrue(house.take(1, 0, 250_000, 50 * SECOND, null).out != null, "7,500 of 16,000 MB, two fronts");
+        assertTrue(house.take(1, 0, 200_000, 50 * SECOND, null).out == null, "over the part of the fleet");
+    }
+
+    @Example
+    void faultsOfAllEnginesAlikeShrinkNothing() {
+        House house = calm(2, plain());
+        for (int k = 0; k < 16; k++) {
+            Held q = house.take(0, 0, 2000, 50_000, null);
+            house.pass(100);
+            while (q.out != null && k % 4 < 3) {
+                house.end(q, Outcome.BROKEN);
+            }
+            if (q.out != null) {
+                house.end(q, Outcome.FINISHED);
+            }
+            house.pass(SECOND);
+        }
+        house.submits.clear();
+        for (int k = 0; k < 40; k++) {
+            house.take(0, 0, 90_000, 500_000, null);
+        }
+        assertTrue(house.submits.size() >= 14, "about as many as on a calm fleet: " + house.submits.size());
+    }
+
+    /** Engines are replaced for as long as a front lives, and nothing is kept of those that have gone. */
+    @Example
+    void nothingGrowsWithEnginesQueriesAndKeysThatHaveGone() {
+        Deployment.ResourceGroup ordered = new Deployment.ResourceGroup(8_000, 0, 1, 1, Effect.TOKENED,
+                Deployment.Recognised.CELL, 2 * SECOND, true, null, null);
+        House house = calm(4, House.deployment(false, false, null, House.SHORT, House.LONG, ordered));
+        for (int k = 4; k < 1_500; k++) {
+            List<Held> out = new ArrayList<>();
+            for (int g = 0; g < 3; g++) {
+                out.add(house.take(g, 0, 500, 3 * SECOND, new Id.OrderKey("k" + k)));
+            }
+            Listing[] list = new Listing[4];
+            for (int j = 0; j < 4; j++) {
+                list[j] = new Listing(new Id.Engine("e" + (k - j)), new Id.Kind("m"), new Id.Zone("z"),
+                        new Id.Cell(0), Health.UP, 0);
+            }
+            house.list(k % 2 == 0 ? Reading.COMPLETE : Reading.CHANGES, list);
+            house.list(Reading.CHANGES, House.engine(k - 4, Health.GONE, 0));
+            house.pass(200);
+            Outcome how = Outcome.values()[k % Outcome.values().length];
+            out.stream().filter(q -> q.out != null).forEach(q -> house.end(q, how));
+            out.stream().filter(q -> !q.answered && !q.left).forEach(house::leave);
+            out.stream().filter(q -> q.out != null).forEach(q -> house.end(q, Outcome.TIMED_OUT));
+            house.pass(300);
+        }
+        house.pass(20 * SECOND);
+        assertTrue(house.control.held() <= 24, "held: " + house.control.held());
+    }
+
     @Example
     void aLightTenantGoesFirstAndEachTenantKeepsItsOrder() {
         House house = calm(1, plain());
--- a/src/test/java/reedspring/House.java
+++ b/src/test/java/reedspring/House.java
@@ -64,7 +64,7 @@
     private final List<Long> further = new ArrayList<>();
     private final Map<Id.Engine, List<long[]>> sentCold = new HashMap<>();
     private final List<long[]> timers = new ArrayList<>();
-    private Control control;
+    Control control;
     long now = 1_000_000;
     private long ids;
     private long unaskedSince = Long.MAX_VALUE;
