--- a/src/test/java/reedspring/ControlTest.java
+++ b/src/test/java/reedspring/ControlTest.java
@@ -146,7 +146,7 @@
         house.take(1, 0, 500_000, 50 * SECOND, null);
         house.take(1, 0, 500_000, 50 * SECOND, null);
         assertEquals(2, house.submits.stream().map(Action.Submit::engine).distinct().count());
-        assertTrue(house.take(1, 0, 250_000, 50 * SECOND, null).out != null, "7,500 of 16,000 MB, two fronts");
+        assertTrue(house.take(1, 0, 250_000, 50 * SECOND, null).out != null, "7,500 of 16,000 MB");
         assertTrue(house.take(1, 0, 200_000, 50 * SECOND, null).out == null, "over the part of the fleet");
     }
 
