--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -181,6 +181,7 @@
         private boolean unclear;
         private boolean lost;
         private boolean crowdedOut;
+        private boolean late;
     }
 
     // ---- engines
@@ -510,6 +511,7 @@
         private double memoryRoom;
         private double othersMemory;
         private boolean crowded;
+        private boolean slack;
         private boolean idle;
         // What stood unused lately of the bound and of the part of memory, over time.
         private double unusedThreads;
@@ -649,7 +651,7 @@
                 double unfitMb = Double.MAX_VALUE;
                 for (Query q : purse.line) {
                     // The ration is asked again: it may have shrunk since the query came back here.
-                    if ((blocked & 1 << Math.min(q.group, 30)) != 0 || q.needMb >= unfitMb
+                    if ((blocked & 1 << Math.min(q.group, 30)) != 0 || q.needMb >= unfitMb || q.late && !slack
                             || q.submissions > 0 && !mayRepeat(q, false)) {
                         continue;
                     }
@@ -976,6 +978,8 @@
 
         /** Defers what can't end in time and, of too much waiting, the least value for its work. */
         private void sweep() {
+            // What is past its target, and has a value even so, runs on what nobody else waits for.
+            slack = queries.values().stream().allMatch(q -> q.outAt >= 0 || q.late);
             List<Query> held = new ArrayList<>();
             double backlog = 0;
             for (Query q : new ArrayList<>(queries.values())) {
@@ -994,9 +998,11 @@
                         groupThreads[q.group] -= q.threads;
                         post(fleet.get(q.outAt), engine -> engine.free(q));
                     }
-                } else if (now >= q.leavesAt - LAST_CALL || now + expected(q) > q.target) {
+                } else if (now >= q.leavesAt - LAST_CALL || (q.late = now + expected(q) > q.target)
+                        && (house.groups().get(q.group).lateValue() <= 0
+                                || now + expected(q) > q.leavesAt - LAST_CALL)) {
                     giveUp(q);
-                } else if (!q.crowdedOut) {
+                } else if (!q.crowdedOut && !q.late) {
                     // Others would not leave sooner for one that waits for memory.
                     held.add(q);
                     backlog += q.work;
--- a/src/main/java/reedspring/api/Deployment.java
+++ b/src/main/java/reedspring/api/Deployment.java
@@ -20,8 +20,9 @@
     public enum Recognised { ALL, ZONE, CELL }
 
     /** {@code zones} and {@code kinds} are null where the group may go anywhere. */
-    public record ResourceGroup(long targetBase, double targetPerWork, double value, int threads,
-                                Effect effect, Recognised recognised, long recognisedFor, boolean ordered,
+    /** {@code lateValue} is the part of the value that an answer past its target has. */
+    public record ResourceGroup(long targetBase, double targetPerWork, double value, double lateValue,
+                                int threads, Effect effect, Recognised recognised, long recognisedFor, boolean ordered,
                                 Set<Id.Zone> zones, Set<Id.Kind> kinds) {
     }
 
--- a/src/main/java/reedspring/boot/Boot.java
+++ b/src/main/java/reedspring/boot/Boot.java
@@ -71,7 +71,7 @@
             String name = pairs.getOrDefault(at + "name", "");
             groupNames.add(name);
             groups.add(new Deployment.ResourceGroup(Times.nearest(number(at + "aimMs", 0)),
-                    number(at + "aimStretch", 0), number(at + "points", 1),
+                    number(at + "aimStretch", 0), number(at + "points", 1), number(at + "lateWorth", 0),
                     k >= threads.length ? 1
                             : (int) Math.max(1, parse("familyInfo.parallelism", threads[k])),
                     switch (pairs.getOrDefault(at + "effect", "once")) {
--- a/src/test/java/reedspring/ControlTest.java
+++ b/src/test/java/reedspring/ControlTest.java
@@ -174,7 +174,7 @@
     /** Engines are replaced for as long as a front lives, and nothing is kept of those that have gone. */
     @Example
     void nothingGrowsWithEnginesQueriesAndKeysThatHaveGone() {
-        Deployment.ResourceGroup ordered = new Deployment.ResourceGroup(8_000, 0, 1, 1, Effect.TOKENED,
+        Deployment.ResourceGroup ordered = new Deployment.ResourceGroup(8_000, 0, 1, 0, 1, Effect.TOKENED,
                 Deployment.Recognised.CELL, 2 * SECOND, true, null, null);
         House house = calm(4, House.deployment(false, false, null, House.SHORT, House.LONG, ordered));
         for (int k = 4; k < 1_500; k++) {
@@ -409,7 +409,7 @@
 
     @Example
     void aTokenedQueryIsNotSentAgainOnceItsRepeatsAreForgotten() {
-        Deployment.ResourceGroup tokened = new Deployment.ResourceGroup(80_000, 2, 1, 1, Effect.TOKENED,
+        Deployment.ResourceGroup tokened = new Deployment.ResourceGroup(80_000, 2, 1, 0, 1, Effect.TOKENED,
                 Deployment.Recognised.ALL, 2 * SECOND, false, null, null);
         House house = calm(2, House.deployment(true, false, null, tokened));
         Held early = house.take(0, 0, 2000, 150_000, null);
--- a/src/test/java/reedspring/House.java
+++ b/src/test/java/reedspring/House.java
@@ -103,7 +103,7 @@
     }
 
     static Deployment.ResourceGroup group(long target, double value, int threads, Effect effect) {
-        return new Deployment.ResourceGroup(target, 2, value, threads, effect, Recognised.ALL, 4 * SECOND,
+        return new Deployment.ResourceGroup(target, 2, value, 0, threads, effect, Recognised.ALL, 4 * SECOND,
                 false, null, null);
     }
 
@@ -327,11 +327,11 @@
         Set<Id.Zone> zones = chance.nextInt(3) == 0 ? Set.of(new Id.Zone("z1")) : null;
         Set<Id.Kind> kinds = chance.nextInt(4) == 0 ? new HashSet<>(List.of(new Id.Kind("m"))) : null;
         boolean ordered = chance.nextBoolean();
-        Deployment.ResourceGroup third = new Deployment.ResourceGroup(8_000, 2, 2,
+        Deployment.ResourceGroup third = new Deployment.ResourceGroup(8_000, 2, 2, chance.nextInt(2) * 0.4,
                 1 + chance.nextInt(3), Effect.values()[chance.nextInt(3)],
                 Recognised.values()[chance.nextInt(3)],
                 2 * SECOND, ordered, zones, kinds);
-        Deployment.ResourceGroup fourth = new Deployment.ResourceGroup(8_000, 0, 1, 1,
+        Deployment.ResourceGroup fourth = new Deployment.ResourceGroup(8_000, 0, 1, 0, 1,
                 Effect.values()[chance.nextInt(3)], Recognised.values()[chance.nextInt(3)], 3 * SECOND,
                 ordered, null, null);
         Deployment.Ration ration = chance.nextInt(3) == 0 ? null
