--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -99,7 +99,6 @@
     private double[] pace = new double[8];
     private double[] faults = new double[8];
     private boolean[] barred = new boolean[8];
-    private long[] barredUntil = new long[8];
 
     public Control(long seed, Deployment house, long now, Consumer<Action> out) {
         this.house = house;
@@ -232,6 +231,7 @@
         private Id.Cell cell;
         private boolean gone;
         private long bar = FIRST_BAR;
+        private long barredUntil;
         private long heardAt;
         // In queries of the lightest group.
         private double credit;
@@ -324,7 +324,7 @@
                 out.accept(new Action.Remark("engine " + id.address() + " is back"));
             } else if (barred[at]) {
                 bar = bad ? Math.min(LONGEST_BAR, bar * 2) : bar;
-                barredUntil[at] = now + bar;
+                barredUntil = now + bar;
             }
             post(desk, part -> part.back(q, closed));
         }
@@ -361,7 +361,7 @@
             long all = IntStream.range(0, fleet.size()).filter(k -> up[k]).count();
             if (overOpen(k -> 1) - 1 >= all * (1 - MOST_BARRED)) {
                 barred[at] = true;
-                barredUntil[at] = now + bar;
+                barredUntil = now + bar;
                 out.accept(new Action.Remark("engine " + id.address() + " " + why + ", barred"));
             }
         }
@@ -394,15 +394,10 @@
         pace = Arrays.copyOf(pace, size);
         faults = Arrays.copyOf(faults, size);
         barred = Arrays.copyOf(barred, size);
-        barredUntil = Arrays.copyOf(barredUntil, size);
     }
 
     private double overOpen(IntToDoubleFunction figure) {
-        double sum = 0;
-        for (int k = 0; k < fleet.size(); k++) {
-            sum += up[k] && !barred[k] ? figure.applyAsDouble(k) : 0;
-        }
-        return sum;
+        return IntStream.range(0, fleet.size()).filter(k -> up[k] && !barred[k]).mapToDouble(figure).sum();
     }
 
     /** Over the listed engines; 0 if none has a figure. */
@@ -563,6 +558,7 @@
             q.dataSet = taken.dataSet();
             q.target = now + group.targetBase() + (long) (group.targetPerWork() * q.work / q.threads);
             queries.put(q.id, q);
+            slack = false;
             arrived = 1 + arrived * Math.exp((arrivedAt - now) / (double) ARRIVALS_WINDOW);
             arrivedAt = now;
             if (house.ration() != null) {
@@ -756,7 +752,7 @@
 
         /** The way back: a barred engine gets one query that could still be run elsewhere in time. */
         private boolean trial(Query q, int k) {
-            return now >= barredUntil[k] && arrivals - lastTrial >= QUERIES_A_TRIAL
+            return now >= fleet.get(k).barredUntil && arrivals - lastTrial >= QUERIES_A_TRIAL
                     && ownQueries[k] == 0 && q.submissions == 0 && mayRepeat(q, true)
                     && now + 3 * expected(q) < q.target && 2 * q.work <= 3 * usualWork[q.group];
         }
@@ -1010,12 +1006,9 @@
             }
             double rate = bound() / Math.exp(Math.max(0, stretch));
             held.sort(Comparator.comparingDouble(q -> value(q) / q.work));
-            for (Query q : held) {
-                if (backlog / rate <= soonest * 0.4) {
-                    break;
-                }
-                backlog -= q.work;
-                giveUp(q);
+            for (int k = 0; k < held.size() && backlog / rate > soonest * 0.4; k++) {
+                backlog -= held.get(k).work;
+                giveUp(held.get(k));
             }
         }
     }
--- a/src/main/java/reedspring/api/Deployment.java
+++ b/src/main/java/reedspring/api/Deployment.java
@@ -19,10 +19,13 @@
     /** The engines that recognise a repeat of a tokened query. */
     public enum Recognised { ALL, ZONE, CELL }
 
-    /** {@code zones} and {@code kinds} are null where the group may go anywhere. */
-    /** {@code lateValue} is the part of the value that an answer past its target has. */
+    /**
+     * {@code lateValue} is the part of the value that an answer past its target has; {@code zones} and
+     * {@code kinds} are null where the group may go anywhere.
+     */
     public record ResourceGroup(long targetBase, double targetPerWork, double value, double lateValue,
-                                int threads, Effect effect, Recognised recognised, long recognisedFor, boolean ordered,
+                                int threads, Effect effect,
+                                Recognised recognised, long recognisedFor, boolean ordered,
                                 Set<Id.Zone> zones, Set<Id.Kind> kinds) {
     }
 
--- a/src/main/java/reedspring/net/Limits.java
+++ b/src/main/java/reedspring/net/Limits.java
@@ -33,7 +33,7 @@
 
     // All queries, and what is held for them: statements, unfinished messages, answers.
     final int queries = 2048;
-    final long heldBytes = 20 << 20;
+    final long heldBytes;
     final int answerBytes = 48_000;
     /** Figures of a query past these can't be meant, and what can't be meant is not decided on. */
     final double longestPatience;
@@ -82,7 +82,9 @@
     /** What one turn of the loop has for a connection goes out in one write, up to so many messages. */
     final int flushes = 256;
 
-    Limits(Boot boot, int sockets) throws BootException {
+    Limits(Boot boot, int sockets, long memoryMb) throws BootException {
+        // A tenth of the memory: parts of it are copied, and buffers are kept for use again.
+        heldBytes = (memoryMb << 20) / 10;
         clientConnections = sockets / 2;
         engineConnections = Math.max(1, Math.min(8, sockets / 64));
         allEngineConnections = sockets / 4;
--- a/src/main/java/reedspring/net/Startup.java
+++ b/src/main/java/reedspring/net/Startup.java
@@ -34,6 +34,9 @@
     private static final int UNUSABLE = 78;
     private static final int UNAVAILABLE = 69;
     private static final int LEAST_SOCKETS = 64;
+    /** As in the line that starts the program, which needs it before there is anything to read the file. */
+    private static final int USUAL_MEMORY_MB = 192;
+    private static final int LEAST_MEMORY_MB = 64;
     private static final long LOG_CLOSING_MS = 100;
 
     private Startup() {
@@ -52,10 +55,14 @@
             if (sockets < LEAST_SOCKETS) {
                 throw new BootException("limits.sockets", "at least " + LEAST_SOCKETS + " are needed");
             }
+            long memory = Json.whole(Json.map(file.get("limits"), "limits"), "memory_mb", USUAL_MEMORY_MB);
+            if (memory < LEAST_MEMORY_MB) {
+                throw new BootException("limits.memory_mb", "at least " + LEAST_MEMORY_MB + " are needed");
+            }
             return new Orders(Json.text(file, "name"), address(Json.text(file, "listen"), "listen"),
                     address(Json.text(file, "journal"), "journal"), seedOf(Json.text(file, "seed")),
                     Json.map(file.get("known"), "known"), boot,
-                    new Limits(boot, (int) Math.min(sockets, Integer.MAX_VALUE)));
+                    new Limits(boot, (int) Math.min(sockets, Integer.MAX_VALUE), memory));
         }
     }
 
--- a/src/test/java/reedspring/ControlTest.java
+++ b/src/test/java/reedspring/ControlTest.java
@@ -171,6 +171,25 @@
         assertTrue(house.submits.size() >= 14, "about as many as on a calm fleet: " + house.submits.size());
     }
 
+    /** Past its target an answer has a value of its own in some groups; it must cost the others nothing. */
+    @Example
+    void whatIsPastItsTargetRunsOnceNothingElseWaitsIfItHasAValueEvenSo() {
+        Deployment.ResourceGroup late = new Deployment.ResourceGroup(15_000, 2, 5, 0.4, 4, Effect.READ_ONLY,
+                Deployment.Recognised.ALL, 4 * SECOND, false, null, null);
+        House house = calm(1, House.deployment(true, false, null, House.SHORT, late));
+        Held first = house.take(1, 0, 500_000, 500 * SECOND, null);
+        Held waits = house.take(1, 0, 400_000, 500 * SECOND, null);
+        house.pass(15 * SECOND);
+        assertTrue(waits.out == null && !waits.answered, "past its target, no memory for it, and still held");
+        Held onTime = house.take(1, 0, 400_000, 500 * SECOND, null);
+        house.end(first, Outcome.FINISHED);
+        assertTrue(waits.out == null && onTime.out != null);
+        house.pass(SECOND);
+        house.end(onTime, Outcome.FINISHED);
+        house.pass(SECOND);
+        assertTrue(waits.out != null);
+    }
+
     /** Engines are replaced for as long as a front lives, and nothing is kept of those that have gone. */
     @Example
     void nothingGrowsWithEnginesQueriesAndKeysThatHaveGone() {
--- a/src/test/java/reedspring/House.java
+++ b/src/test/java/reedspring/House.java
@@ -74,6 +74,7 @@
         Event.Taken taken;
         Id.Engine out;
         long sentAt;
+        long timeoutAt;
         int submissions;
         boolean answered;
         boolean left;
@@ -196,7 +197,7 @@
             }
             for (Held q : held.values()) {
                 if (q.out != null && !q.answered && !q.left) {
-                    next = Math.min(next, q.taken.leavesAt());
+                    next = Math.min(next, q.timeoutAt);
                 }
             }
             now = Math.max(now, next);
@@ -207,7 +208,7 @@
                 }
             }
             for (Held q : List.copyOf(held.values())) {
-                if (q.out != null && now >= q.taken.leavesAt() && !q.answered && !q.left) {
+                if (q.out != null && now >= q.timeoutAt && !q.answered && !q.left) {
                     end(q, Outcome.TIMED_OUT);
                 }
                 if (!q.answered && !q.left && now > q.taken.leavesAt() + GRACE) {
@@ -304,6 +305,8 @@
         q.submissions++;
         q.out = submit.engine();
         q.sentAt = now;
+        q.timeoutAt = submit.timeout() > 0 ? Math.min(q.taken.leavesAt(), now + submit.timeout())
+                : q.taken.leavesAt();
     }
 
     private Deployment.ResourceGroup group(Held q) {
--- a/src/test/java/reedspring/net/CodecTest.java
+++ b/src/test/java/reedspring/net/CodecTest.java
@@ -30,7 +30,7 @@
 class CodecTest {
     private static Limits limits() {
         try {
-            return new Limits(new Boot(Map.of()), 1024);
+            return new Limits(new Boot(Map.of()), 1024, 192);
         } catch (BootException e) {
             throw new AssertionError(e);
         }
--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -53,6 +53,7 @@
     private static final int EACH = 12;
     /** The rules allow 70; the machine that tests may be busy. */
     private static final int LATE_MS = 400;
+    private static final int MEMORY_MB = 104;
 
     private final List<AutoCloseable> opened = new ArrayList<>();
     private JournalStandIn journal;
@@ -366,7 +367,7 @@
         opened.add(() -> group.shutdownGracefully(0, 0, TimeUnit.SECONDS));
         EventLoop loop = group.next();
         Boot boot = new Boot(Map.of());
-        Limits limits = new Limits(boot, 1024);
+        Limits limits = new Limits(boot, 1024, 192);
         loop.submit(() -> {
             Front made = new Front(loop, boot, limits, 1);
             OpenQuery q = new OpenQuery(new Id.Query(1), 1, null, Client.trace(), "lookup",
@@ -914,7 +915,10 @@
     /** Floods of connections, of large statements and of answers that nobody reads. */
     @Example
     void theLimitsHoldUnderAFlood() throws Exception {
-        start(engine(7), engine(7));
+        journal = open(new JournalStandIn());
+        String config = Program.config(Program.freeAddress(), journal.address(), event(1, true,
+                host("e0", engine(7).address(), "ready"), host("e1", engine(7).address(), "ready")));
+        front = open(new Program(config.replace("\"memory_mb\":192", "\"memory_mb\":" + MEMORY_MB))).ready();
         String large = "x".repeat(200_000);
         List<Client> deaf = new ArrayList<>();
         for (int k = 0; k < 300; k++) {
@@ -956,7 +960,7 @@
             assertTrue(held.count() < 1024);
         }
         System.out.println("flood: peak " + peakKb / 1024 + " MB");
-        assertTrue(peakKb < 192 * 1024, peakKb + " kB");
+        assertTrue(peakKb < MEMORY_MB * 1024, peakKb + " kB");
         assertTrue(front.log.size() < 40, front.log::toString);
         serves();
     }
