--- a/src/main/java/reedspring/net/ClientConnection.java
+++ b/src/main/java/reedspring/net/ClientConnection.java
@@ -155,11 +155,16 @@
         return lastUsedAt;
     }
 
-    /** Whether anything that it sent was of use so far; a client that has room to lose has shown it. */
+    /** Whether anything that it sent was of use so far. */
     boolean useful() {
         return useful;
     }
 
+    /** What it has to say for itself where there is no room for all; the least goes. */
+    int claim() {
+        return useful ? 1 : ticks >= front.limits().chanceTicks ? 0 : 2;
+    }
+
     boolean idleSince(long time) {
         return open.isEmpty() && lastUsedAt < time && !unsent();
     }
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -96,10 +96,11 @@
         if (clients.size() >= limits.clientConnections) {
             long now = clock.now();
             log.line("client connections at their limit", Integer.toString(clients.size()));
-            // Those that never sent anything of use go first, whatever they are about to send.
+            // Those that had their chance and sent nothing of use go first. Then the longest idle: its client
+            // asks again on another. What has just come is about to ask, and would lose its query.
             ClientConnection idle = clients.stream()
                     .filter(c -> !c.useful() || c.idleSince(now) && !c.midway())
-                    .min(Comparator.comparing(ClientConnection::useful)
+                    .min(Comparator.comparingInt(ClientConnection::claim)
                             .thenComparingLong(ClientConnection::lastUsedAt)).orElse(null);
             if (idle == null) {
                 return false;
--- a/src/main/java/reedspring/net/Limits.java
+++ b/src/main/java/reedspring/net/Limits.java
@@ -16,6 +16,8 @@
     final int clientIdle = 60_000;
     /** Looks after which a client that has sent nothing of use, or has not ended a message, has to go. */
     final int silentTicks = 8;
+    /** Looks after which a client that has sent nothing yet goes before the others if there is no room. */
+    final int chanceTicks = 2;
     final int unfinishedTicks = 5;
     /** After which a client that has taken nothing of what waits for it is cut off. */
     final int clientStall = 10_000;
--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -268,8 +268,11 @@
             good.add(client().send(Client.query(1, Client.trace(), PATIENCE, "select")));
             good.get(k).read();
         }
-        for (int k = 0; k < 700; k++) {
+        for (int k = 0; k < 800; k++) {
             client();
+            if (k == 400) {
+                Thread.sleep(700);
+            }
         }
         await("the limit", () -> front.logged("client connections at their limit"));
         for (Client each : good) {
@@ -278,6 +281,25 @@
         }
     }
 
+    /** Clients that ask once and hold their connection must not cost a new one its query. */
+    @Example
+    void aCrowdThatHoldsItsConnectionsCostsNoNewClientItsQuery() throws Exception {
+        start(engine(1));
+        for (int round = 0; round < 20; round++) {
+            List<Client> fresh = new ArrayList<>();
+            for (int k = 0; k < 40; k++) {
+                fresh.add(client());
+            }
+            for (Client each : fresh) {
+                each.send(Client.query(1, Client.trace(), PATIENCE, "select"));
+            }
+            for (Client each : fresh) {
+                assertNotEquals(null, Client.rows(each.read()));
+            }
+        }
+        assertTrue(front.logged("client connections at their limit"), front.log::toString);
+    }
+
     @Example
     void aRevokedQueryGetsNoAnswerAndItsLateResultIsDropped() throws Exception {
         List<EngineStandIn.Command> held = new java.util.concurrent.CopyOnWriteArrayList<>();
