--- a/src/main/java/reedspring/net/ClientConnection.java
+++ b/src/main/java/reedspring/net/ClientConnection.java
@@ -75,7 +75,7 @@
             } else if (call.fault() != null) {
                 error(call.id(), call.fault());
             } else if (call.method().equals("heartbeat")) {
-                useful = true;
+                use();
                 channel.writeAndFlush(RpcWriter.heartbeat(channel.alloc(), call.id(), front.able()));
             } else if (open.size() >= front.limits().clientQueries) {
                 turnAway(call.id());
@@ -84,7 +84,7 @@
                 long arrived = Math.min(front.timers().earliestArrival(), deafSince);
                 OpenQuery q = front.take(this, call, arrived);
                 if (q != null) {
-                    useful = true;
+                    use();
                     open.put(call.id(), q);
                     front.decide(q);
                 }
@@ -115,7 +115,7 @@
             return;
         }
         open.remove(q.messageId);
-        lastUsedAt = front.clock().now();
+        use();
         int length = pages.stream().mapToInt(ByteBuf::readableBytes).sum();
         channel.write(RpcWriter.rowsHead(channel.alloc(), q.messageId, length));
         pages.forEach(page -> channel.write(page.retain()));
@@ -151,18 +151,15 @@
         channel.writeAndFlush(RpcWriter.error(channel.alloc(), id, "Fault", "say", why));
     }
 
-    long lastUsedAt() {
-        return lastUsedAt;
-    }
-
-    /** Whether anything that it sent was of use so far. */
-    boolean useful() {
-        return useful;
+    /** Whether it has been there for long enough to have sent something. */
+    boolean hadItsChance() {
+        return ticks >= front.limits().chanceTicks;
     }
 
-    /** What it has to say for itself where there is no room for all; the least goes. */
-    int claim() {
-        return useful ? 1 : ticks >= front.limits().chanceTicks ? 0 : 2;
+    private void use() {
+        useful = true;
+        lastUsedAt = front.clock().now();
+        front.used(this);
     }
 
     boolean idleSince(long time) {
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -11,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import reedspring.Control;
 import reedspring.api.Action;
 import reedspring.api.Event;
@@ -37,6 +37,8 @@
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private final Map<Id.Query, OpenQuery> queries = new LinkedHashMap<>();
     private final Map<String, OpenQuery> traces = new HashMap<>();
+    /** Connections on which nothing of use has come yet, in the order of arrival; the rest by last use. */
+    private final Set<ClientConnection> newcomers = new LinkedHashSet<>();
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
     private boolean deciding;
     private boolean listed;
@@ -93,26 +95,46 @@
 
     /** False if the connection is one too many. */
     boolean came(ClientConnection client) {
-        if (clients.size() >= limits.clientConnections) {
-            long now = clock.now();
-            log.line("client connections at their limit", Integer.toString(clients.size()));
-            // Those that had their chance and sent nothing of use go first. Then the longest idle: its client
-            // asks again on another. What has just come is about to ask, and would lose its query.
-            ClientConnection idle = clients.stream()
-                    .filter(c -> !c.useful() || c.idleSince(now) && !c.midway())
-                    .min(Comparator.comparingInt(ClientConnection::claim)
-                            .thenComparingLong(ClientConnection::lastUsedAt)).orElse(null);
+        if (newcomers.size() + clients.size() >= limits.clientConnections) {
+            log.line("client connections at their limit", Integer.toString(limits.clientConnections));
+            ClientConnection idle = leastClaim();
             if (idle == null) {
                 return false;
             }
-            clients.remove(idle);
+            gone(idle);
             idle.close();
         }
-        clients.add(client);
+        newcomers.add(client);
         return true;
     }
 
+    /**
+     * Those that had their chance and sent nothing of use go first. Then the longest idle: its client asks
+     * again on another. What has just come is about to ask, and would lose its query.
+     */
+    private ClientConnection leastClaim() {
+        ClientConnection eldest = newcomers.isEmpty() ? null : newcomers.iterator().next();
+        if (eldest != null && eldest.hadItsChance()) {
+            return eldest;
+        }
+        long now = clock.now();
+        for (ClientConnection client : clients) {
+            if (client.idleSince(now) && !client.midway()) {
+                return client;
+            }
+        }
+        return eldest;
+    }
+
+    /** It has sent something of use or had an answer, and goes to the end of the line. */
+    void used(ClientConnection client) {
+        if (newcomers.remove(client) || clients.remove(client)) {
+            clients.add(client);
+        }
+    }
+
     void gone(ClientConnection client) {
+        newcomers.remove(client);
         clients.remove(client);
     }
 
@@ -366,6 +388,7 @@
         timers.in(limits.tick * 10L, this::tick);
         long now = clock.now();
         engines.tick(now);
+        List.copyOf(newcomers).forEach(client -> client.tick(now));
         List.copyOf(clients).forEach(client -> client.tick(now));
         if (now >= sumAt) {
             sumAt = now + limits.logEvery * 10L;
@@ -399,7 +422,7 @@
         }
         // What was answered in this turn is written only after it: the last answers need a look of their own.
         boolean done = queries.values().stream().allMatch(q -> q.answered)
-                && (clients.stream().noneMatch(ClientConnection::unsent)
+                && (Stream.concat(newcomers.stream(), clients.stream()).noneMatch(ClientConnection::unsent)
                         || gone >= (limits.leavingLongest + limits.leavingFlush) * 10L);
         if (gone >= limits.leavingQuiet * 10L && done) {
             log.once("left");
