--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -644,10 +644,12 @@
                 for (int k = 0; mixed && k < groupThreads.length; k++) {
                     blocked |= groupThreads[k] > bound * MOST_OF_ONE_GROUP ? 1 << Math.min(k, 30) : 0;
                 }
+                int unfit = 0;
                 double unfitMb = Double.MAX_VALUE;
                 for (Query q : purse.line) {
                     // The ration is asked again: it may have shrunk since the query came back here.
-                    if ((blocked & 1 << Math.min(q.group, 30)) != 0 || q.needMb >= unfitMb || q.late && !slack
+                    int bit = 1 << Math.min(q.group, 30);
+                    if ((blocked & bit) != 0 || (unfit & bit) != 0 && q.needMb >= unfitMb || q.late && !slack
                             || q.submissions > 0 && !mayRepeat(q, false)) {
                         continue;
                     }
@@ -667,9 +669,11 @@
                     }
                     // No engine of its own takes it; a query of another group may still leave, and where
                     // memory is what lacks, one that needs less: large ones would hold up all behind them.
+                    // It has to fit by itself: what stood unused is left to those that wait for it.
                     q.crowdedOut = crowded;
-                    unfitMb = crowded ? q.needMb : unfitMb;
-                    blocked |= crowded ? 0 : 1 << Math.min(q.group, 30);
+                    unfitMb = crowded ? Math.min(unfitMb, Math.min(q.needMb, memoryRoom)) : unfitMb;
+                    unfit |= crowded ? bit : 0;
+                    blocked |= crowded ? 0 : bit;
                 }
             }
         }
@@ -974,8 +978,9 @@
 
         /** Defers what can't end in time and, of too much waiting, the least value for its work. */
         private void sweep() {
-            // What is past its target, and has a value even so, runs on what nobody else waits for.
-            slack = queries.values().stream().allMatch(q -> q.outAt >= 0 || q.late);
+            // Past its target, a query that has a value even so runs on what nobody waits for, here or elsewhere.
+            slack = factor >= 1 && threadsOut() < CALM * bound()
+                    && queries.values().stream().allMatch(q -> q.outAt >= 0 || q.late);
             List<Query> held = new ArrayList<>();
             double backlog = 0;
             for (Query q : new ArrayList<>(queries.values())) {
@@ -998,8 +1003,8 @@
                         && (house.groups().get(q.group).lateValue() <= 0
                                 || now + expected(q) > q.leavesAt - LAST_CALL)) {
                     giveUp(q);
-                } else if (!q.crowdedOut && !q.late) {
-                    // Others would not leave sooner for one that waits for memory.
+                } else if (!q.late && (!q.crowdedOut || now - boundMetAt < SECOND)) {
+                    // While the gate is not met, none would leave sooner for one that waits for memory.
                     held.add(q);
                     backlog += q.work;
                 }
