--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -978,7 +978,7 @@
 
         /** Defers what can't end in time and, of too much waiting, the least value for its work. */
         private void sweep() {
-            // Past its target, a query that still has a value runs on what nobody waits for, here or elsewhere.
+            // Past its target, what still has a value runs on what nobody waits for here or elsewhere.
             slack = factor >= 1 && threadsOut() < CALM * bound()
                     && queries.values().stream().allMatch(q -> q.outAt >= 0 || q.late);
             List<Query> held = new ArrayList<>();
