News of engines go before decisions and submissions; a front's own lag is told apart

Cause: a loop that stood still finds queries and the notice in its sockets together and takes them in any order; nothing looked at the notice again before a submission left.

Alarms over 50 ms late wait until a turn has read the sockets (Turns); a first try by a task due at once did not do, as such a task still runs in the turn that scheduled it. Ends and notes tell Control how much earlier they may have come, and only what the lag can't explain is felt. Stand-ins moved to src/rig.

--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -129,7 +129,7 @@
         } else if (event instanceof Event.ShareDone share) {
             Query q = desk.queries.get(share.query());
             if (q != null && q.outAt >= 0 && q.submissions - 1 == share.submission().value()) {
-                post(fleet.get(q.outAt), engine -> engine.progress(q, share.share()));
+                post(fleet.get(q.outAt), engine -> engine.progress(q, share));
             }
         } else {
             post(desk, part -> part.word(event));
@@ -173,6 +173,7 @@
         private boolean streaming;
         private boolean cancelled;
         private long notedAt;
+        private long notedUnseen;
         private double share;
         private long overdueAt = Long.MAX_VALUE;
         private int ranAt = -1;
@@ -250,9 +251,9 @@
             barred[at] = false;
         }
 
-        private void progress(Query q, double share) {
+        private void progress(Query q, Event.ShareDone note) {
             heardAt = now;
-            post(desk, part -> part.progress(q, share));
+            post(desk, part -> part.progress(q, note));
         }
 
         private void listed(Event.Listing listing) {
@@ -308,12 +309,13 @@
             boolean bad = BAD.contains(outcome);
             if (outcome == Outcome.FINISHED) {
                 faults[at] *= barred[at] ? 0.5 : 0.75;
-                pace(closed.took() * q.threads, closed.work() > 0 ? closed.work() : q.work);
+                pace(closed, q, closed.work() > 0 ? closed.work() : q.work);
             } else if (bad) {
                 faults[at] = Math.max(faults[at] + 0.25 * (1 - faults[at]),
                         outcome == Outcome.UNREACHABLE ? FAULTY : 0);
-            } else if (outcome == Outcome.TIMED_OUT && closed.took() * q.threads > q.work) {
-                pace(closed.took() * q.threads, q.work);
+            } else if (outcome == Outcome.TIMED_OUT
+                    && (closed.took() - closed.unseen()) * q.threads > q.work) {
+                pace(closed, q, q.work);
             }
             boolean fails = faults[at] >= FAULTY && faults[at] > 2 * median(faults);
             if (!barred[at] && fails) {
@@ -335,9 +337,11 @@
             ownMemory[at] = ownThreads[at] <= 0 ? 0 : ownMemory[at] - q.needMb;
         }
 
-        private void pace(double threadTime, double work) {
-            if (work > 0 && threadTime > 0) {
-                double seen = Math.max(-1.5, Math.min(3, Math.log(threadTime / work)));
+        private void pace(Event.Closed closed, Query q, double work) {
+            if (work > 0 && closed.took() > 0) {
+                double held = Double.isNaN(pace[at]) ? usualPace : pace[at];
+                double seen = Math.max(-1.5, Math.min(3, logOf(held, (closed.took() - closed.unseen())
+                        * q.threads, closed.took() * q.threads, work)));
                 pace[at] = Double.isNaN(pace[at]) ? Math.min(seen, 0.7) : pace[at] + 0.15 * (seen - pace[at]);
             }
         }
@@ -411,6 +415,14 @@
         return startedAt[at] > 0 && now - startedAt[at] < house.coldStart().ramp();
     }
 
+    /** The log of time to work. Of a time that the front could not see whole, because it stood still itself,
+     * the end that is nearest to what is held: its own lag must not pass for an engine's. */
+    private static double logOf(double held, double least, double most, double work) {
+        double per = Math.max(1, work);
+        return Math.max(Math.log(Math.max(1, least) / per),
+                Math.min(Math.log(Math.max(1, most) / per), held));
+    }
+
     /** Cores at the pace shown against the peers': a slow, crowded, failing or cold engine counts less. */
     private double worth(int at) {
         double from = house.coldStart().from();
@@ -783,6 +795,7 @@
             q.cancelled = false;
             q.lost = false;
             q.notedAt = now;
+            q.notedUnseen = 0;
             q.share = 0;
             q.overdueAt = now + (long) (2 * expected(q));
             post(fleet.get(at), engine -> engine.carry(q));
@@ -829,7 +842,7 @@
                 estimateError[q.group] += 0.02 * Math.max(-2, Math.min(2, Math.log(work / q.work)));
             }
             answers++;
-            felt(ran, work, Math.max(0.05, 1.0 / answers));
+            felt(ran - closed.unseen() * q.threads, ran, work, Math.max(0.05, 1.0 / answers));
             boolean first = answers < 40 && (answers < 10 || now - bornAt < FIRST_ANSWERS);
             if (first || now - boundMetAt > SECOND && threadsOut() < CALM * bound() / factor) {
                 // A busy front has only its first answers to go by; later ones can show an overload.
@@ -845,8 +858,8 @@
 
         /** What was seen of how a run takes against its work. One step moves the stretch by little, whatever
          * it shows: bad plans and lost answers say nothing of the load. */
-        private void felt(double ran, double work, double weight) {
-            double step = Math.log(Math.max(1, ran) / Math.max(1, work)) - stretch;
+        private void felt(double least, double most, double work, double weight) {
+            double step = logOf(stretch, least, most, work) - stretch;
             step = Math.max(-ONE_STEP, Math.min(ONE_STEP, step));
             stretch = Math.max(-1, Math.min(2.5, stretch + weight * step));
             // The bound follows at once: fronts that each hear little would shrink too late by steps.
@@ -881,11 +894,15 @@
         }
 
         /** Bad plans: what a fresh start would end far sooner than the rest of this run starts afresh. */
-        private void progress(Query q, double share) {
+        private void progress(Query q, Event.ShareDone note) {
             // Answers tell of an overload only once it has passed; notes of runs tell while it lasts.
-            felt((now - q.notedAt) * q.threads, (share - q.share) * q.work, 0.05);
+            double share = note.share();
+            long since = now - q.notedAt;
+            felt((since - note.unseen()) * q.threads, (since + q.notedUnseen) * q.threads,
+                    (share - q.share) * q.work, 0.05);
             q.share = share;
             q.notedAt = now;
+            q.notedUnseen = note.unseen();
             q.overdueAt = Long.MAX_VALUE;
             if (q.answered || !mayRestart(q)) {
                 return;
@@ -988,7 +1005,7 @@
                     if (now >= q.overdueAt && !q.answered) {
                         // For runs too short for notes. Only once: an answer that is lost is no load.
                         q.overdueAt = Long.MAX_VALUE;
-                        felt((now - q.sentAt) * q.threads, q.work, 0.05);
+                        felt((now - q.sentAt) * q.threads, (now - q.sentAt) * q.threads, q.work, 0.05);
                     }
                     if (stuck(q) && !q.answered && house.allowed().cancel() && mayRestart(q)) {
                         cancel(q);
--- a/src/main/java/reedspring/adapter/Adapter.java
+++ b/src/main/java/reedspring/adapter/Adapter.java
@@ -211,7 +211,7 @@
 
     private static Event note(Line line) throws WireException {
         return line.whole("topic") != 1 ? null
-                : new Event.ShareDone(query(line), submission(line), line.number("amount"));
+                : new Event.ShareDone(query(line), submission(line), line.number("amount"), 0);
     }
 
     private static Event closed(Line line) throws WireException {
@@ -230,7 +230,7 @@
         String note = line.find("note");
         long bill = note == null || outcome != Event.Outcome.FINISHED ? 0 : line.whole("note", note);
         return new Event.Closed(query(line), submission(line), outcome, line.flag("settled"),
-                Times.nearest(line.number("elapsedMs", 0)), (bill >> 12) * 10);
+                Times.nearest(line.number("elapsedMs", 0)), 0, (bill >> 12) * 10);
     }
 
     private void write(int instance, List<Action> actions) {
--- a/src/main/java/reedspring/api/Event.java
+++ b/src/main/java/reedspring/api/Event.java
@@ -33,12 +33,16 @@
     record StreamBegan(Id.Query query, Id.Submission submission) implements Event {
     }
 
-    record ShareDone(Id.Query query, Id.Submission submission, double share) implements Event {
+    /** {@code unseen}: how much earlier it may have come while the front itself stood still. */
+    record ShareDone(Id.Query query, Id.Submission submission, double share, long unseen) implements Event {
     }
 
-    /** {@code work} is what the engine reports as used, 0 if it reports none. */
+    /**
+     * {@code work} is what the engine reports as used, 0 if it reports none. {@code took} may be too long by
+     * up to {@code unseen}, where the front itself stood still before it saw the end.
+     */
     record Closed(Id.Query query, Id.Submission submission, Outcome outcome, boolean over, long took,
-                  long work) implements Event {
+                  long unseen, long work) implements Event {
     }
 
     record Woken(Id.Timer timer) implements Event {
@@ -46,7 +50,9 @@
 
     enum Outcome {
         FINISHED(false), ERROR(false), TURNED_AWAY(true), TIMED_OUT(false), UNREACHABLE(true), BROKEN(false),
-        CANCELLED(false), NOT_SENT(true);
+        CANCELLED(false), NOT_SENT(true),
+        /** Kept by the front: the engine was listed as no longer up before it could leave. */
+        WITHHELD(true);
 
         private final boolean neverRan;
 
--- a/src/main/java/reedspring/net/EngineConnection.java
+++ b/src/main/java/reedspring/net/EngineConnection.java
@@ -18,12 +18,14 @@
 import io.netty.handler.flush.FlushConsolidationHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ClosedChannelException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import reedspring.api.Event.Outcome;
 
@@ -36,6 +38,7 @@
     private final Front front;
     private final Limits limits;
     private final String engine;
+    private final BooleanSupplier engineUp;
     private final Consumer<EngineConnection> ended;
     private final Map<String, Submission> open = new LinkedHashMap<>();
     /** Queries that have still something to come here from a submission that is over, the latest of them. */
@@ -54,10 +57,12 @@
     private long heardAt;
     private long askedAt = -1;
 
-    EngineConnection(Front front, Limits limits, String engine, Consumer<EngineConnection> ended) {
+    EngineConnection(Front front, Limits limits, String engine, BooleanSupplier engineUp,
+                     Consumer<EngineConnection> ended) {
         this.front = front;
         this.limits = limits;
         this.engine = engine;
+        this.engineUp = engineUp;
         this.ended = ended;
         this.decoder = new AnswerDecoder(limits);
         this.lastUsedAt = front.clock().now();
@@ -73,12 +78,20 @@
             }
         }).connect(address);
         channel = dialled.channel();
+        // Among the front's own alarms: Netty's would ring before the socket is looked at, after a stop of
+        // this process, and an engine that took the connection in time would count as unreachable.
+        Timers.Due tooLate = front.timers().in(limits.connectTimeout * 10L, () -> {
+            lost = "no connection in " + limits.connectTimeout + " ms";
+            channel.close();
+        });
         dialled.addListener(done -> {
+            front.timers().cancel(tooLate);
             if (done.isSuccess()) {
                 up = true;
-                List.copyOf(open.values()).forEach(this::write);
+                open.values().forEach(front::departs);
             } else {
-                end(Outcome.UNREACHABLE, "engine unreachable", String.valueOf(done.cause().getMessage()));
+                end(Outcome.UNREACHABLE, "engine unreachable", done.cause() instanceof ClosedChannelException
+                        ? lost : String.valueOf(done.cause().getMessage()));
             }
         });
     }
@@ -119,21 +132,34 @@
             heardAt = front.clock().now();
         }
         if (up) {
-            write(s);
+            front.departs(s);
         }
     }
 
-    private void write(Submission s) {
+    String engine() {
+        return engine;
+    }
+
+    /** Whether its engine may still be given anything, by the news as they stand. */
+    boolean departable() {
+        return !retired && engineUp.getAsBoolean();
+    }
+
+    /** Writes it out at once: what waits for others could stand here while the process is stopped. */
+    void depart(Submission s) {
         OpenQuery q = s.query;
         if (q.answered) {
             front.closed(s, Outcome.NOT_SENT);
             return;
         }
         lastUsedAt = front.clock().now();
+        s.sentAt = lastUsedAt;
         s.written = true;
         long left = Math.max(1, (s.timeoutAt - lastUsedAt) / 10);
-        command(q.statement.retainedDuplicate(), "fetch", q.trace, "lane=" + q.group + ",ttl=" + left
-                + (q.priority >= 0 ? ",urgency=" + q.priority : ""));
+        channel.write(message(q.statement.retainedDuplicate(), "fetch", q.trace, "lane=" + q.group + ",ttl="
+                + left + (q.priority >= 0 ? ",urgency=" + q.priority : "")));
+        // Past the handler that gathers flushes until the turn's end.
+        channel.pipeline().context(FlushConsolidationHandler.class).flush();
     }
 
     void renice(Submission s) {
@@ -216,6 +242,10 @@
     }
 
     private void command(ByteBuf body, String... words) {
+        channel.writeAndFlush(message(body, words));
+    }
+
+    private ArrayRedisMessage message(ByteBuf body, String... words) {
         List<RedisMessage> parts = new ArrayList<>(words.length + 1);
         for (String word : words) {
             parts.add(new FullBulkStringRedisMessage(ByteBufUtil.writeUtf8(channel.alloc(), word)));
@@ -223,7 +253,7 @@
         if (body != null) {
             parts.add(new FullBulkStringRedisMessage(body));
         }
-        channel.writeAndFlush(new ArrayRedisMessage(parts));
+        return new ArrayRedisMessage(parts);
     }
 
     @Override
@@ -286,7 +316,7 @@
         }
         s.pages = new ByteBuf[(int) sheets];
         s.missing = s.pages.length;
-        s.endedAt = lastUsedAt;
+        front.seenEnd(s);
         s.work = Math.round(Math.max(0, figure(answer, "toil", 0)) * 10);
         keep(s, 0, answer.body());
         if (s.over) {
--- a/src/main/java/reedspring/net/Engines.java
+++ b/src/main/java/reedspring/net/Engines.java
@@ -23,6 +23,7 @@
     /** One engine's connections. Those to an address or a process that it has no more carry nothing new. */
     private static final class Link {
         private Host host;
+        private boolean up;
         private boolean gone;
         private final List<EngineConnection> connections = new ArrayList<>();
     }
@@ -31,7 +32,7 @@
         this.limits = limits;
         this.front = front;
         this.dialer = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeout)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
                 .option(ChannelOption.TCP_NODELAY, true);
     }
 
@@ -41,6 +42,7 @@
             Link link = links.computeIfAbsent(id, k -> new Link());
             Host before = link.host;
             link.host = host;
+            link.up = host.listing().health() == Event.Health.UP;
             link.gone = host.listing().health() == Event.Health.GONE;
             if (before != null && (!before.address().equals(host.address())
                     || before.listing().startedAt() != host.listing().startedAt())) {
@@ -51,6 +53,7 @@
             link.gone |= reading != Event.Reading.CHANGES
                     && hosts.stream().noneMatch(host -> host.listing().engine().equals(id));
             if (link.gone) {
+                link.up = false;
                 List.copyOf(link.connections).forEach(EngineConnection::retire);
             }
         });
@@ -84,7 +87,7 @@
             return;
         }
         InetSocketAddress address = link.host.address();
-        EngineConnection connection = new EngineConnection(front, limits, engine.address(),
+        EngineConnection connection = new EngineConnection(front, limits, engine.address(), () -> link.up,
                 link.connections::remove);
         link.connections.add(connection);
         connection.send(s);
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -35,6 +35,12 @@
     private final Engines engines;
     private final Control control;
     private final ArrayDeque<Event> events = new ArrayDeque<>();
+    /** What is known of engines goes before all else that has come. */
+    private final ArrayDeque<Event> news = new ArrayDeque<>();
+    private final ArrayDeque<Submission> departures = new ArrayDeque<>();
+    private final EventLoop loop;
+    private Runnable source = () -> { };
+    private long newsAt;
     private final Map<Id.Query, OpenQuery> queries = new LinkedHashMap<>();
     private final Map<String, OpenQuery> traces = new HashMap<>();
     /** Connections on which nothing of use has come yet, in the order of arrival; the rest by last use. */
@@ -48,12 +54,13 @@
     private long held;
     private long sumAt;
 
-    Front(EventLoop loop, Boot boot, Limits limits, long seed) {
+    Front(EventLoop loop, Turns turns, Boot boot, Limits limits, long seed) {
+        this.loop = loop;
         this.boot = boot;
         this.limits = limits;
         this.clock = new Clock();
         this.log = new Log(limits);
-        this.timers = new Timers(loop, clock, log);
+        this.timers = new Timers(loop, turns, clock, log, limits);
         this.engines = new Engines(loop, limits, this);
         this.sumAt = clock.now() + limits.logEvery * 10L;
         deciding = true;
@@ -88,7 +95,26 @@
     void listed(Event.Reading reading, List<Host> hosts) {
         engines.listed(reading, hosts);
         listed = true;
-        on(new Event.EnginesListed(reading, hosts.stream().map(Host::listing).toList()));
+        news.add(new Event.EnginesListed(reading, hosts.stream().map(Host::listing).toList()));
+        settle();
+    }
+
+    /** Where news of engines come from: reads what has come to its socket so far, and may find nothing. */
+    void newsFrom(Runnable reader) {
+        source = reader;
+    }
+
+    /**
+     * Reads the news before anything is decided or sent on, unless that was done a moment ago. The selector
+     * hands over sockets in any order: after a stop of the loop, queries that came before a drain notice
+     * would be sent on without it, long after the notice lay in the front's own socket.
+     */
+    private void refresh() {
+        long at = clock.now();
+        if (at - newsAt >= limits.newsAge * 10L) {
+            newsAt = at;
+            source.run();
+        }
     }
 
     // ---- clients
@@ -263,7 +289,9 @@
         }
         deciding = true;
         try {
-            for (Event next = events.poll(); next != null; next = events.poll()) {
+            while (!news.isEmpty() || !events.isEmpty()) {
+                refresh();
+                Event next = news.isEmpty() ? events.poll() : news.poll();
                 try {
                     control.on(clock.now(), next, this::act);
                 } catch (RuntimeException | Error e) {
@@ -348,6 +376,37 @@
         engines.send(submit.engine(), s);
     }
 
+    /** Its connection is up. It leaves when this turn of the loop has read what there is. */
+    void departs(Submission s) {
+        departures.add(s);
+        if (departures.size() == 1) {
+            loop.execute(this::depart);
+        }
+    }
+
+    /**
+     * The one way out. A stop between the decision and here may have been long, so that the news are looked
+     * at once more, right before the bytes go; what may no longer be sent never ran.
+     */
+    private void depart() {
+        for (Submission s = departures.poll(); s != null; s = departures.poll()) {
+            refresh();
+            if (s.over || s.connection == null) {
+                continue;
+            }
+            if (!s.connection.departable()) {
+                log.line("submission withheld, engine no longer up", s.connection.engine());
+                closed(s, Outcome.WITHHELD);
+                continue;
+            }
+            try {
+                s.connection.depart(s);
+            } catch (RuntimeException | Error e) {
+                log.fault("a submission failed", e);
+            }
+        }
+    }
+
     /** A submission has ended, in whatever way; what comes of it later is not heard any more. */
     void closed(Submission s, Outcome seen) {
         if (s.over) {
@@ -372,14 +431,24 @@
         boolean over = q.answered;
         hold(-s.bytes);
         s.release();
-        long took = (s.endedAt > 0 ? s.endedAt : clock.now()) - s.sentAt;
-        events.add(new Event.Closed(q.id, s.number, outcome, over, took, s.work));
+        if (s.endedAt == 0) {
+            seenEnd(s);
+        }
+        long took = s.endedAt - s.sentAt;
+        events.add(new Event.Closed(q.id, s.number, outcome, over, took, Math.min(took, s.unseen),
+                s.work));
         forget(q);
         settle();
     }
 
+    /** Notes when it ended, and by how much earlier that may have been while the front stood still. */
+    void seenEnd(Submission s) {
+        s.endedAt = clock.now();
+        s.unseen = s.endedAt - timers.earliestArrival();
+    }
+
     void progress(Submission s, double share) {
-        on(new Event.ShareDone(s.query.id, s.number, share));
+        on(new Event.ShareDone(s.query.id, s.number, share, clock.now() - timers.earliestArrival()));
     }
 
     // ---- time
--- a/src/main/java/reedspring/net/Journal.java
+++ b/src/main/java/reedspring/net/Journal.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -49,6 +50,7 @@
     private Channel channel;
     private long heardAt;
     private boolean gapSeen;
+    private boolean reading;
 
     Journal(EventLoop loop, Front front, Limits limits, InetSocketAddress service, long seed) {
         this.front = front;
@@ -60,6 +62,14 @@
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.journalConnect);
     }
 
+    /** Reads what lies in the socket now, ahead of the selector's turn. Not while that is being done. */
+    void readNow() {
+        if (!reading && channel != null && channel.isActive()
+                && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+            socket.read();
+        }
+    }
+
     /** Hands over the list that the configuration holds. */
     void known(Map<?, ?> known) throws BootException {
         Map<Id.Engine, Host> held = new LinkedHashMap<>();
@@ -161,6 +171,7 @@
                 ReferenceCountUtil.release(message);
                 return;
             }
+            reading = true;
             try {
                 if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
                     front.log().line("journal answer malformed", part.decoderResult().toString());
@@ -183,6 +194,7 @@
                     ctx.close();
                 }
             } finally {
+                reading = false;
                 ReferenceCountUtil.release(message);
             }
         }
--- a/src/main/java/reedspring/net/Limits.java
+++ b/src/main/java/reedspring/net/Limits.java
@@ -68,6 +68,10 @@
     final int journalFirstWait = 50;
     final int journalLongestWait = 500;
     final int journalBytes = 1 << 20;
+    /** After which the journal's socket is looked at again before anything is decided or sent. */
+    final int newsAge = 10;
+    /** An alarm that is later than this shows that the loop stood still. */
+    final int stoodStill = 50;
 
     // The end. Requests come for 0.6 s after SIGTERM; SIGKILL comes 0.7 s past the longest queue timeout,
     // which counts as 3 s where it is longer.
--- a/src/main/java/reedspring/net/Startup.java
+++ b/src/main/java/reedspring/net/Startup.java
@@ -10,7 +10,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.util.NetUtil;
@@ -71,7 +70,8 @@
      * to halt with it, as an ordinary exit runs the hook that SIGTERM runs.
      */
     public static int serve(Map<String, String> environment) throws InterruptedException {
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        Turns turns = new Turns();
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, turns);
         EventLoop loop = group.next();
         AtomicReference<Front> raised = new AtomicReference<>();
         AtomicReference<Journal> journal = new AtomicReference<>();
@@ -81,7 +81,7 @@
         Signal.handle(new Signal("HUP"), signal -> reload(loop, raised.get(), journal.get(), path));
         try {
             Orders orders = Orders.read(path);
-            journal.set(loop.submit(() -> raise(loop, orders, raised)).get());
+            journal.set(loop.submit(() -> raise(loop, turns, orders, raised)).get());
             Front front = raised.get();
             ChannelFuture bound = server(group, front, orders.limits()).bind(orders.listen());
             if (!bound.awaitUninterruptibly().isSuccess()) {
@@ -102,11 +102,12 @@
         }
     }
 
-    private static Journal raise(EventLoop loop, Orders orders, AtomicReference<Front> raised)
-            throws BootException {
-        Front front = new Front(loop, orders.boot(), orders.limits(), orders.seed());
+    private static Journal raise(EventLoop loop, Turns turns, Orders orders,
+                                 AtomicReference<Front> raised) throws BootException {
+        Front front = new Front(loop, turns, orders.boot(), orders.limits(), orders.seed());
         raised.set(front);
         Journal journal = new Journal(loop, front, orders.limits(), orders.journal(), ~orders.seed());
+        front.newsFrom(journal::readNow);
         journal.known(orders.known());
         journal.follow();
         return journal;
@@ -165,7 +166,7 @@
         }
     }
 
-    private static ServerBootstrap server(EventLoopGroup group, Front front, Limits limits) {
+    static ServerBootstrap server(EventLoopGroup group, Front front, Limits limits) {
         return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 1024)
                 .option(ChannelOption.SO_RCVBUF, limits.socketBytes)
--- a/src/main/java/reedspring/net/Submission.java
+++ b/src/main/java/reedspring/net/Submission.java
@@ -7,7 +7,7 @@
 final class Submission {
     final OpenQuery query;
     final Id.Submission number;
-    final long sentAt;
+    long sentAt;
     final long timeoutAt;
     EngineConnection connection;
     Timers.Due end;
@@ -18,6 +18,7 @@
     int missing;
     int bytes;
     long endedAt;
+    long unseen;
     long work;
 
     Submission(OpenQuery query, long sentAt, long timeoutAt) {
--- a/src/main/java/reedspring/net/Timers.java
+++ b/src/main/java/reedspring/net/Timers.java
@@ -14,12 +14,14 @@
     private final EventLoop loop;
     private final Clock clock;
     private final Log log;
+    private final Limits limits;
     private final PriorityQueue<Due> queue = new PriorityQueue<>(
             Comparator.comparingLong((Due due) -> due.at).thenComparingLong(due -> due.order));
     private long order;
     private Future<?> alarm;
     private long alarmAt = Long.MAX_VALUE;
     private long behindSince = Long.MAX_VALUE;
+    private boolean readFirst;
 
     static final class Due {
         private final long at;
@@ -33,10 +35,12 @@
         }
     }
 
-    Timers(EventLoop loop, Clock clock, Log log) {
+    Timers(EventLoop loop, Turns turns, Clock clock, Log log, Limits limits) {
         this.loop = loop;
         this.clock = clock;
         this.log = log;
+        this.limits = limits;
+        turns.afterReading(this::read);
     }
 
     Due at(long time, Runnable what) {
@@ -79,11 +83,34 @@
     private void ring() {
         alarmAt = Long.MAX_VALUE;
         alarm = null;
-        if (!queue.isEmpty() && clock.now() - queue.peek().at > LATE) {
-            // The timers may run before what came meanwhile is read. What is due at once runs after that.
+        long behind = queue.isEmpty() ? 0 : clock.now() - queue.peek().at;
+        if (behind > LATE) {
+            // What came meanwhile may still be unread.
             behindSince = Math.min(behindSince, queue.peek().at);
-            loop.schedule(() -> behindSince = Long.MAX_VALUE, 1, TimeUnit.NANOSECONDS);
         }
+        if (behind > limits.stoodStill * 10L) {
+            // Who owes an answer, or nothing for too long, shows only once all that has come is read: a stop
+            // of this process must not pass for the others' silence.
+            log.line("the loop stood still", behind / 10 + " ms");
+            readFirst = true;
+            alarmAt = Long.MIN_VALUE;
+            alarm = loop.schedule(() -> { }, 1, TimeUnit.NANOSECONDS);
+        } else {
+            runDue();
+        }
+    }
+
+    private void read() {
+        if (readFirst) {
+            readFirst = false;
+            alarmAt = Long.MAX_VALUE;
+            alarm = null;
+            runDue();
+        }
+        behindSince = Long.MAX_VALUE;
+    }
+
+    private void runDue() {
         for (long now = clock.now(); !queue.isEmpty() && queue.peek().at <= now; ) {
             try {
                 queue.poll().what.run();
--- /dev/null
+++ b/src/rig/java/reedspring/rig/ClassArchive.java
@@ -0,0 +1,43 @@
+package reedspring.rig;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Part of the build: plays a short day round the program while the JVM notes the classes that it loads,
+ * and leaves them as an archive from which a front starts in half the time. A front needs no archive,
+ * so a machine on which this fails still has its build.
+ */
+public final class ClassArchive {
+    private ClassArchive() {
+    }
+
+    public static void main(String[] args) throws Exception {
+        try (JournalStandIn journal = new JournalStandIn();
+                EngineStandIn good = new EngineStandIn(EngineStandIn.pages(3));
+                EngineStandIn odd = new EngineStandIn(command -> command.answerRaw("+PONG\r\n"));
+                Program program = new Program(Program.config(Program.freeAddress(), journal.address(),
+                        JournalStandIn.event(1, true, JournalStandIn.host("e0", good.address(), "ready"),
+                                JournalStandIn.host("e1", odd.address(), "ready"),
+                                JournalStandIn.host("e2", Program.freeAddress(), "ready"))),
+                        Path.of("."), Program.run(Path.of("."))
+                                .replace("-XX:SharedArchiveFile=", "-XX:ArchiveClassesAtExit="));
+                Client client = program.ready().client()) {
+            Rig.await("the call", () -> !journal.calledFrom.isEmpty());
+            journal.send("id: 2\ndata: " + JournalStandIn.event(2, false,
+                    JournalStandIn.host("e1", odd.address(), "draining")) + "\n\n");
+            client.send(Client.pack(List.of(0, 1, "heartbeat", List.of(Map.of())))).read();
+            String statement = "select 'a' from sales_17.orders -- b";
+            for (int id = 2; id < 200; id++) {
+                client.send(Client.query(id, Client.trace(), 2000, statement)).read();
+            }
+            program.process.toHandle().destroy();
+            Rig.require(program.process.waitFor(Rig.PATIENCE_S, TimeUnit.SECONDS), "the front stays");
+        } catch (IOException | AssertionError e) {
+            System.err.println("no class archive: " + e);
+        }
+    }
+}
--- /dev/null
+++ b/src/rig/java/reedspring/rig/EngineStandIn.java
@@ -0,0 +1,111 @@
+package reedspring.rig;
+
+import java.io.BufferedInputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+
+/** A query engine that does with each command what the test says. */
+public final class EngineStandIn extends Server {
+    /**
+     * One command as it came, the moment of its first byte in nanoseconds of the steady clock, and a way to
+     * answer on its connection.
+     */
+    public record Command(List<String> words, Socket from, long at) {
+        public String word() {
+            return words.get(0);
+        }
+
+        public String id() {
+            return words.get(1);
+        }
+
+        public void answer(String word, String fields, String body) {
+            answerRaw("*4" + bulk(id()) + bulk(word) + bulk(fields) + bulk(body) + "\r\n");
+        }
+
+        public void answerRaw(String text) {
+            try {
+                synchronized (from) {
+                    from.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+                }
+            } catch (IOException e) {
+                // the front has closed it; the test sees that elsewhere
+            }
+        }
+
+        private static String bulk(String text) {
+            return "\r\n$" + text.length() + "\r\n" + text;
+        }
+    }
+
+    private final Consumer<Command> work;
+    public final List<Command> seen = new CopyOnWriteArrayList<>();
+
+    public EngineStandIn(Consumer<Command> work) throws IOException {
+        this(0, work);
+    }
+
+    public EngineStandIn(int port, Consumer<Command> work) throws IOException {
+        super(port);
+        this.work = work;
+    }
+
+    public int port() {
+        return socket.getLocalPort();
+    }
+
+    public List<Command> seen(String word) {
+        return seen.stream().filter(command -> command.word().equals(word)).toList();
+    }
+
+    /** Ends each query at once with that many pages, each naming its number and the query. */
+    public static Consumer<Command> pages(int count) {
+        return command -> {
+            if (command.word().equals("fetch")) {
+                command.answer("data", "sheets=" + count + ",toil=3.5,room=12", page(command.id(), 0));
+            } else if (command.word().equals("more")) {
+                String sheet = command.words().get(2);
+                command.answer("page", "sheet=" + sheet, page(command.id(), Integer.parseInt(sheet)));
+            }
+        };
+    }
+
+    public static String page(String id, int sheet) {
+        return (id + "\t" + sheet + "\trow\n").repeat(250);
+    }
+
+    @Override
+    void serve(Socket peer) throws IOException {
+        DataInputStream in = new DataInputStream(new BufferedInputStream(peer.getInputStream()));
+        while (true) {
+            List<String> words = new ArrayList<>();
+            int count = length(in, '*');
+            long at = System.nanoTime();
+            for (int left = count; left > 0; left--) {
+                byte[] word = new byte[length(in, '$')];
+                in.readFully(word);
+                in.skipBytes(2);
+                words.add(new String(word, StandardCharsets.ISO_8859_1));
+            }
+            Command command = new Command(words, peer, at);
+            seen.add(command);
+            work.accept(command);
+        }
+    }
+
+    private static int length(DataInputStream in, int type) throws IOException {
+        Rig.require(in.readUnsignedByte() == type, "RESP from the front");
+        int length = 0;
+        for (int c = in.readUnsignedByte(); c != '\r'; c = in.readUnsignedByte()) {
+            length = length * 10 + c - '0';
+        }
+        in.skipBytes(1);
+        return length;
+    }
+}
--- /dev/null
+++ b/src/rig/java/reedspring/rig/Program.java
@@ -0,0 +1,108 @@
+package reedspring.rig;
+
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** The program, started as the platform starts it. */
+public final class Program implements Closeable {
+    public final Process process;
+    public final List<String> log = new CopyOnWriteArrayList<>();
+    public final String listen;
+    private final Path file;
+
+    public Program(String config) throws IOException {
+        this(config, Path.of("."));
+    }
+
+    /** Of another checkout that is built. */
+    public Program(String config, Path home) throws IOException {
+        this(config, home, run(home));
+    }
+
+    Program(String config, Path home, String run) throws IOException {
+        this.listen = config.replaceAll(".*\"listen\":\"([^\"]*)\".*", "$1");
+        file = Files.createTempFile("reedspring", ".json");
+        file.toFile().deleteOnExit();
+        Files.writeString(file, config);
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run).redirectErrorStream(true);
+        builder.environment().put("RELAY_CONFIG", file.toString());
+        builder.directory(home.toFile());
+        process = builder.start();
+        Server.background(() -> {
+            BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream(),
+                    StandardCharsets.UTF_8));
+            for (String line = out.readLine(); line != null; line = out.readLine()) {
+                log.add(line);
+            }
+        });
+    }
+
+    static String run(Path home) throws IOException {
+        return Files.readAllLines(home.resolve("deploy/balancer.toml")).stream()
+                .filter(line -> line.startsWith("run =")).findFirst().orElseThrow().split("\"")[1];
+    }
+
+    public Program ready() throws InterruptedException {
+        Rig.await("the front to serve", () -> logged("serves on") || !process.isAlive());
+        Rig.require(process.isAlive(), "the front ended: " + log);
+        return this;
+    }
+
+    public void signal(String name) throws IOException, InterruptedException {
+        String pid = Long.toString(process.pid());
+        Rig.require(new ProcessBuilder("kill", name, pid).start().waitFor() == 0, "no " + name);
+    }
+
+    /** Puts another configuration in place, as a whole, and tells the front. */
+    public void reload(String config) throws IOException, InterruptedException {
+        Path next = Files.createTempFile("reedspring", ".json");
+        Files.writeString(next, config);
+        Files.move(next, file, StandardCopyOption.REPLACE_EXISTING);
+        signal("-HUP");
+    }
+
+    public boolean logged(String text) {
+        return log.stream().anyMatch(line -> line.contains(text));
+    }
+
+    public Client client() throws IOException {
+        return new Client(Integer.parseInt(listen.substring(listen.indexOf(':') + 1)));
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+    }
+
+    /** @param known the journal's events of the start; a null journal leaves the field out */
+    public static String config(String listen, String journal, String... known) {
+        return "{\"name\":\"n0\",\"listen\":\"" + listen + "\",\"seed\":\"8c1f30d27a5be964\","
+                + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
+                + (journal == null ? "" : "\"journal\":\"" + journal + "\",")
+                + "\"known\":{\"pos\":" + known.length
+                + ",\"entries\":[" + String.join(",", known) + "]},"
+                + "\"settings\":{\"fleetSize\":1,\"allowed\":{\"cancel\":false,\"sendCap\":3,"
+                + "\"connectTimeoutMs\":250.0,\"multiplex\":32,\"idleCloseMs\":30000.0,"
+                + "\"retryAfter\":true,\"maxRetryAfterMs\":500.0},\"classes\":[{\"name\":\"lookup\","
+                + "\"aimMs\":900.0,\"aimStretch\":2.0,\"effect\":\"repeatable\",\"points\":1.0}],"
+                + "\"kinds\":[\"m\"],\"familyInfo\":{\"parallelism\":[1],\"sizeCores\":[40],"
+                + "\"memoryByKindMb\":[64000.0],\"lanesCount\":true},\"customers\":[{\"name\":\"acme\","
+                + "\"share\":1.0,\"quotaPerS\":100.0}],\"novelty\":[1,{\"a\":null}]}}";
+    }
+
+    public static String freeAddress() throws IOException {
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return "127.0.0.1:" + probe.getLocalPort();
+        }
+    }
+}
--- a/src/test/java/reedspring/ControlTest.java
+++ b/src/test/java/reedspring/ControlTest.java
@@ -53,6 +53,7 @@
                     List<Held> out = house.held.values().stream().filter(q -> q.out != null).toList();
                     if (!out.isEmpty()) {
                         Outcome[] outcomes = Outcome.values();
+                        house.unseen = chance.nextInt(4) == 0 ? chance.nextInt(8_000) : 0;
                         house.end(out.get(chance.nextInt(out.size())), chance.nextDouble() > trouble
                                 ? Outcome.FINISHED : outcomes[chance.nextInt(outcomes.length)]);
                     }
@@ -67,7 +68,7 @@
                         } else if (q.out != null) {
                             house.on(new Event.ShareDone(q.taken.query(),
                                     new Id.Submission(q.submissions - 1),
-                                    chance.nextDouble()));
+                                    chance.nextDouble(), chance.nextInt(3) * 500));
                         }
                     }
                 }
@@ -316,9 +317,9 @@
         Held bad = house.take(1, 0, 20_000, 150_000, null);
         Held once = house.take(2, 0, 20_000, 150_000, null);
         house.pass(2 * SECOND);
-        house.on(new Event.ShareDone(bad.taken.query(), new Id.Submission(0), 0.05));
+        house.on(new Event.ShareDone(bad.taken.query(), new Id.Submission(0), 0.05, 0));
         assertTrue(house.last.contains(new Action.Cancel(bad.taken.query(), new Id.Submission(0))));
-        house.on(new Event.ShareDone(once.taken.query(), new Id.Submission(0), 0.05));
+        house.on(new Event.ShareDone(once.taken.query(), new Id.Submission(0), 0.05, 0));
         assertFalse(house.last.stream().anyMatch(a -> a instanceof Action.Cancel));
         house.end(bad, Outcome.CANCELLED);
         assertEquals(2, bad.submissions);
@@ -493,6 +494,34 @@
         assertTrue(out <= 6, "far over the share: " + out);
     }
 
+    /** A front on half a core that stood still for its own sake felt a slow fleet and shrank its bound. */
+    @Example
+    void theFrontsOwnLagIsNoStretch() {
+        int calm = sentAfter(0, 0);
+        assertEquals(calm, sentAfter(4_000, 4_000));
+        assertTrue(sentAfter(4_000, 0) < calm, "a slow fleet still counts");
+        assertTrue(sentAfter(4_000, 1_000) < calm, "as does what the lag does not account for");
+    }
+
+    private static int sentAfter(long longer, long unseen) {
+        House house = calm(2, House.deployment(false, false, null, House.SHORT, House.LONG));
+        for (int k = 0; k < 60; k++) {
+            Held q = house.take(0, 1, 1000, 50_000, null);
+            house.pass(1_000);
+            // No timer runs while the process stands still.
+            house.now += longer;
+            house.unseen = unseen;
+            if (q.out != null) {
+                house.end(q, Outcome.FINISHED);
+            }
+        }
+        int before = house.submits.size();
+        for (int k = 0; k < 60; k++) {
+            house.take(0, 1, 9000, 150_000, null);
+        }
+        return house.submits.size() - before;
+    }
+
     /** enfidha-main-later, big-2: with few answers a second a front heard of an overload too late. */
     @Example
     void notesOfSlowRunsShrinkTheBoundBeforeTheirAnswersCome() {
@@ -507,7 +536,7 @@
         for (int note = 1; note <= 10; note++) {
             house.pass(1000);
             for (Held q : List.copyOf(house.held.values())) {
-                house.on(new Event.ShareDone(q.taken.query(), new Id.Submission(0), note * pace / 15));
+                house.on(new Event.ShareDone(q.taken.query(), new Id.Submission(0), note * pace / 15, 0));
             }
         }
         int before = house.submits.size();
--- a/src/test/java/reedspring/net/CodecTest.java
+++ b/src/test/java/reedspring/net/CodecTest.java
@@ -22,9 +22,9 @@
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
-import reedspring.House.Client;
 import reedspring.boot.Boot;
 import reedspring.boot.BootException;
+import reedspring.rig.Client;
 
 /** The codecs, fed in pieces of any size and with bytes that are none of theirs. */
 class CodecTest {
--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -5,15 +5,14 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static reedspring.House.JournalStandIn.event;
-import static reedspring.House.JournalStandIn.host;
-import static reedspring.House.await;
+import static reedspring.rig.JournalStandIn.event;
+import static reedspring.rig.JournalStandIn.host;
+import static reedspring.rig.Rig.await;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -40,12 +39,12 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
 import net.jqwik.api.lifecycle.AfterTry;
-import reedspring.House.Client;
-import reedspring.House.EngineStandIn;
-import reedspring.House.JournalStandIn;
-import reedspring.House.Program;
 import reedspring.api.Id;
 import reedspring.boot.Boot;
+import reedspring.rig.Client;
+import reedspring.rig.EngineStandIn;
+import reedspring.rig.JournalStandIn;
+import reedspring.rig.Program;
 
 /** Starts the built program by the deploy file's line and speaks to it over loopback sockets. */
 class FrontIT {
@@ -385,17 +384,18 @@
     @Example
     void thePriorityOfWhatRunsCanBeChanged() throws Exception {
         EngineStandIn engine = silentEngine();
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        Turns turns = new Turns();
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, turns);
         opened.add(() -> group.shutdownGracefully(0, 0, TimeUnit.SECONDS));
         EventLoop loop = group.next();
         Boot boot = new Boot(Map.of());
         Limits limits = new Limits(boot, 1024, 192);
         loop.submit(() -> {
-            Front made = new Front(loop, boot, limits, 1);
+            Front made = new Front(loop, turns, boot, limits, 1);
             OpenQuery q = new OpenQuery(new Id.Query(1), 1, null, Client.trace(), "lookup",
                     Unpooled.EMPTY_BUFFER, made.clock().now() + 50_000);
             Submission s = new Submission(q, made.clock().now(), q.leavesAt);
-            EngineConnection connection = new EngineConnection(made, limits, "e0", ended -> { });
+            EngineConnection connection = new EngineConnection(made, limits, "e0", () -> true, ended -> { });
             connection.send(s);
             connection.dial(new Bootstrap().group(loop).channel(NioSocketChannel.class),
                     new InetSocketAddress(InetAddress.getLoopbackAddress(), engine.port()));
@@ -491,7 +491,7 @@
             } else {
                 // More than belongs to it: one ahead under an unknown id, and a second copy.
                 String stranger = Client.trace();
-                new EngineStandIn.Command(List.of("fetch", stranger), command.from())
+                new EngineStandIn.Command(List.of("fetch", stranger), command.from(), 0)
                         .answer("data", "sheets=3", EngineStandIn.page(stranger, 0));
                 EngineStandIn.pages(2).accept(command);
                 EngineStandIn.pages(2).accept(command);
