--- a/src/main/java/reedspring/net/EngineConnection.java
+++ b/src/main/java/reedspring/net/EngineConnection.java
@@ -33,8 +33,6 @@
 final class EngineConnection extends ChannelInboundHandlerAdapter {
     private static final Set<String> LAST_WORDS = Set.of("data", "full", "failed", "moot");
 
-    private static final int COLUMNS = 3;
-
     private final Front front;
     private final Limits limits;
     private final String engine;
@@ -46,6 +44,7 @@
     /** Those of them that the engine may still be at work on. */
     private final Set<String> running = new LinkedHashSet<>();
     private final AnswerDecoder decoder;
+    private final Rows rows;
     private Channel channel;
     private long bytes;
     private long partBytes;
@@ -57,10 +56,11 @@
     private long heardAt;
     private long askedAt = -1;
 
-    EngineConnection(Front front, Limits limits, String engine, BooleanSupplier engineUp,
+    EngineConnection(Front front, Limits limits, Rows rows, String engine, BooleanSupplier engineUp,
                      Consumer<EngineConnection> ended) {
         this.front = front;
         this.limits = limits;
+        this.rows = rows;
         this.engine = engine;
         this.engineUp = engineUp;
         this.ended = ended;
@@ -352,7 +352,7 @@
         if (s.pages[at] != null) {
             return;
         }
-        if (!rows(page)) {
+        if (!rows.whole(page)) {
             throw new CorruptedFrameException("a page that is no whole rows");
         }
         s.pages[at] = page.retain();
@@ -366,25 +366,6 @@
         }
     }
 
-    /** Text of three columns, each row ended: what is not can't be a page, whatever its frame says. */
-    private static boolean rows(ByteBuf page) {
-        int tabs = 0;
-        for (int k = page.readerIndex(); k < page.writerIndex(); k++) {
-            int c = page.getByte(k);
-            if (c == '\n') {
-                if (tabs != COLUMNS - 1) {
-                    return false;
-                }
-                tabs = 0;
-            } else if (c == '\t') {
-                tabs++;
-            } else if (c >= 0 && c < ' ') {
-                return false;
-            }
-        }
-        return !page.isReadable() || page.getByte(page.writerIndex() - 1) == '\n';
-    }
-
     private static double figure(AnswerDecoder.Answer answer, String field, double otherwise) {
         String value = answer.fields().get(field);
         try {
--- a/src/main/java/reedspring/net/Engines.java
+++ b/src/main/java/reedspring/net/Engines.java
@@ -17,6 +17,7 @@
 final class Engines {
     private final Limits limits;
     private final Front front;
+    private final Rows rows;
     private final Bootstrap dialer;
     private final Map<Id.Engine, Link> links = new LinkedHashMap<>();
 
@@ -31,6 +32,7 @@
     Engines(EventLoop loop, Limits limits, Front front) {
         this.limits = limits;
         this.front = front;
+        this.rows = new Rows(limits.pageBytes);
         this.dialer = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
                 .option(ChannelOption.TCP_NODELAY, true);
@@ -87,8 +89,8 @@
             return;
         }
         InetSocketAddress address = link.host.address();
-        EngineConnection connection = new EngineConnection(front, limits, engine.address(), () -> link.up,
-                link.connections::remove);
+        EngineConnection connection = new EngineConnection(front, limits, rows, engine.address(),
+                () -> link.up, link.connections::remove);
         link.connections.add(connection);
         connection.send(s);
         connection.dial(dialer, address);
--- a/src/rig/java/reedspring/rig/ClassArchive.java
+++ b/src/rig/java/reedspring/rig/ClassArchive.java
@@ -30,6 +30,10 @@
             journal.send("id: 2\ndata: " + JournalStandIn.event(2, false,
                     JournalStandIn.host("e1", odd.address(), "draining")) + "\n\n");
             client.send(Client.pack(List.of(0, 1, "heartbeat", List.of(Map.of())))).read();
+            // What a front does later must not be read from the jar either, least of all on half a core.
+            program.reload(Program.config(program.listen, journal.address()));
+            client.send(Client.pack(List.of(0, 1, "stroll", List.of(Map.of(), new byte[0])))).read();
+            client.send(Client.query(1, Client.trace(), 1, "too late")).read();
             String statement = "select 'a' from sales_17.orders -- b";
             for (int id = 2; id < 200; id++) {
                 client.send(Client.query(id, Client.trace(), 2000, statement)).read();
--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -395,7 +395,8 @@
             OpenQuery q = new OpenQuery(new Id.Query(1), 1, null, Client.trace(), "lookup",
                     Unpooled.EMPTY_BUFFER, made.clock().now() + 50_000);
             Submission s = new Submission(q, made.clock().now(), q.leavesAt);
-            EngineConnection connection = new EngineConnection(made, limits, "e0", () -> true, ended -> { });
+            EngineConnection connection = new EngineConnection(made, limits, new Rows(limits.pageBytes),
+                    "e0", () -> true, ended -> { });
             connection.send(s);
             connection.dial(new Bootstrap().group(loop).channel(NioSocketChannel.class),
                     new InetSocketAddress(InetAddress.getLoopbackAddress(), engine.port()));
