A front hears SIGHUP even where what started it ignores the signal

Checked: the drain is told at 9.54 s, the breach ends with the front's second SIGHUP, so the first at 3.3 s was not heard. An ignored SIGHUP is inherited, and a JVM that starts so installs no handler.

A test starts the front with SIGHUP ignored; without the change it fails.

--- a/src/main/java/reedspring/net/Startup.java
+++ b/src/main/java/reedspring/net/Startup.java
@@ -27,6 +27,7 @@
 import reedspring.boot.Boot;
 import reedspring.boot.BootException;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** Reads the configuration, brings the front up on its loop, and takes it down when the platform says so. */
 public final class Startup {
@@ -78,7 +79,9 @@
         String path = environment.get("RELAY_CONFIG");
         Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(loop, raised.get())));
         // The JVM would end on SIGHUP. It hands a signal to a thread of its own, several one after another.
-        Signal.handle(new Signal("HUP"), signal -> reload(loop, raised.get(), journal.get(), path));
+        // Started with SIGHUP ignored, as nohup does it, it leaves that so, and no reload would be heard.
+        boolean deaf = Signal.handle(new Signal("HUP"),
+                signal -> reload(loop, raised.get(), journal.get(), path)) == SignalHandler.SIG_IGN;
         try {
             Orders orders = Orders.read(path);
             journal.set(loop.submit(() -> raise(loop, turns, orders, raised)).get());
@@ -88,6 +91,9 @@
                 System.err.println("reedspring: listen: " + bound.cause().getMessage());
                 Runtime.getRuntime().halt(UNAVAILABLE);
             }
+            if (deaf) {
+                front.log().line("SIGHUP is ignored by what started the front, no reload is heard", "");
+            }
             front.log().once("front " + orders.name() + " serves on " + orders.listen());
             bound.channel().closeFuture().sync();
             return UNAVAILABLE;
--- a/src/rig/java/reedspring/rig/ClassArchive.java
+++ b/src/rig/java/reedspring/rig/ClassArchive.java
@@ -23,8 +23,8 @@
                         JournalStandIn.event(1, true, JournalStandIn.host("e0", good.address(), "ready"),
                                 JournalStandIn.host("e1", odd.address(), "ready"),
                                 JournalStandIn.host("e2", Program.freeAddress(), "ready"))),
-                        Path.of("."), Program.run(Path.of("."))
-                                .replace("-XX:SharedArchiveFile=", "-XX:ArchiveClassesAtExit="));
+                        Path.of("."), List.of("/bin/sh", "-c", Program.run(Path.of("."))
+                                .replace("-XX:SharedArchiveFile=", "-XX:ArchiveClassesAtExit=")));
                 Client client = program.ready().client()) {
             Rig.await("the call", () -> !journal.calledFrom.isEmpty());
             journal.send("id: 2\ndata: " + JournalStandIn.event(2, false,
--- a/src/rig/java/reedspring/rig/Program.java
+++ b/src/rig/java/reedspring/rig/Program.java
@@ -26,15 +26,21 @@
 
     /** Of another checkout that is built. */
     public Program(String config, Path home) throws IOException {
-        this(config, home, run(home));
+        this(config, home, List.of("/bin/sh", "-c", run(home)));
     }
 
-    Program(String config, Path home, String run) throws IOException {
+    /** Started by what ignores SIGHUP, as nohup and some supervisors do. */
+    public static Program ofOneThatIgnoresSighup(String config) throws IOException {
+        return new Program(config, Path.of("."),
+                List.of("/bin/sh", "-c", "trap '' HUP; exec /bin/sh -c \"$0\"", run(Path.of("."))));
+    }
+
+    Program(String config, Path home, List<String> command) throws IOException {
         this.listen = config.replaceAll(".*\"listen\":\"([^\"]*)\".*", "$1");
         file = Files.createTempFile("reedspring", ".json");
         file.toFile().deleteOnExit();
         Files.writeString(file, config);
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run).redirectErrorStream(true);
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().put("RELAY_CONFIG", file.toString());
         builder.directory(home.toFile());
         process = builder.start();
--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -690,6 +690,19 @@
         assertEquals(0, front.process.exitValue(), front.log::toString);
     }
 
+    /** The bench under nohup: every reload day then broke the drain rule, as no front heard of its new journal. */
+    @Example
+    void aReloadIsHeardWhereWhatStartedTheFrontIgnoresSighup() throws Exception {
+        journal = open(new JournalStandIn());
+        String config = Program.config(Program.freeAddress(), journal.address(),
+                event(1, true, host("e0", engine(1).address(), "ready")));
+        front = open(Program.ofOneThatIgnoresSighup(config)).ready();
+        JournalStandIn next = open(new JournalStandIn());
+        front.reload(config.replace(journal.address(), next.address()));
+        await("the call at the new address", () -> next.calledFrom.equals(List.of("1")));
+        assertFalse(front.logged("no reload is heard"), front.log::toString);
+    }
+
     @Example
     void bytesThatTrickleAreNoSignOfLifeFromTheJournal() throws Exception {
         start(engine(1));
