--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -690,7 +690,7 @@
         assertEquals(0, front.process.exitValue(), front.log::toString);
     }
 
-    /** The bench under nohup: every reload day then broke the drain rule, as no front heard of its new journal. */
+    /** Under nohup every reload day broke the drain rule, as no front heard of its new journal. */
     @Example
     void aReloadIsHeardWhereWhatStartedTheFrontIgnoresSighup() throws Exception {
         journal = open(new JournalStandIn());
