Spooled results: a kept answer frees its engine and is read page by page, across restarts

For installations with a disk; off on the platform.

Change: `spool` decides without I/O (room by pages announced, a part for each tenant, headroom for what must not run twice, back-pressure, eviction, moves, refusals, what is found at a start; handles with a seal). `spool.store` keeps append-only segments with an index each, group commit, checksums that hold the place, recovery from indexes. `net.KeptAnswers` joins them to the loop. Control knows NOT_KEPT: no further run, deferred where safe. Settings in INI, picocli command line, JSON log lines.

Found by the tests: first pages of answers that begin while the disk stands still had no bound; now refused past twice the limit. Tests 2 min 47 s in all on a busy machine.

--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -823,7 +823,8 @@
             q.answered |= closed.over();
             if (q.answered) {
                 leave(q);
-            } else if (outcome != Outcome.NOT_SENT && q.submissions < house.allowed().submissions()
+            } else if (outcome != Outcome.NOT_SENT && outcome != Outcome.NOT_KEPT
+                    && q.submissions < house.allowed().submissions()
                     && mayRepeat(q, false) && now + expected(q) < q.leavesAt - LAST_CALL) {
                 q.avoid = q.sentTo;
                 join(q);
--- a/src/main/java/reedspring/Main.java
+++ b/src/main/java/reedspring/Main.java
@@ -3,31 +3,23 @@
 import java.io.IOException;
 import reedspring.adapter.Adapter;
 import reedspring.adapter.WireException;
+import reedspring.cli.Commands;
 import reedspring.net.Startup;
 
-/** The command line: picks the protocol that is put before the decisions. */
+/**
+ * The platform's two lines, started without what the rest of the command line needs: a front on half a core
+ * pays for each class.
+ */
 public final class Main {
-    private static final String USAGE = """
-            usage: java -jar reedspring.jar adapter | serve
-
-              adapter   serve the simulator's wire on standard input and output
-              serve     be one front on sockets, as the file named by RELAY_CONFIG says
-            """;
-
     private Main() {
     }
 
     public static void main(String[] args) throws InterruptedException {
-        if (args.length == 1 && (args[0].equals("--help") || args[0].equals("-h"))) {
-            System.err.print(USAGE);
-            return;
-        }
         if (args.length == 1 && args[0].equals("serve")) {
-            Runtime.getRuntime().halt(Startup.serve(System.getenv()));
+            Runtime.getRuntime().halt(Startup.serve(System.getenv(), null));
         }
         if (args.length != 1 || !args[0].equals("adapter")) {
-            System.err.print(USAGE);
-            System.exit(64);
+            System.exit(Commands.run(args));
         }
         try {
             new Adapter(System.in, System.out).serve();
--- a/src/main/java/reedspring/api/Event.java
+++ b/src/main/java/reedspring/api/Event.java
@@ -52,7 +52,9 @@
         FINISHED(false), ERROR(false), TURNED_AWAY(true), TIMED_OUT(false), UNREACHABLE(true), BROKEN(false),
         CANCELLED(false), NOT_SENT(true),
         /** Kept by the front: the engine was listed as no longer up before it could leave. */
-        WITHHELD(true);
+        WITHHELD(true),
+        /** It ran well, and its answer could not be kept for the client: another run would fare no better. */
+        NOT_KEPT(false);
 
         private final boolean neverRan;
 
--- a/src/main/java/reedspring/net/ClientConnection.java
+++ b/src/main/java/reedspring/net/ClientConnection.java
@@ -8,13 +8,17 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** One connection of a client: its open queries by message id, and its answers in any order. */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     private final Front front;
     private final Map<Long, OpenQuery> open = new HashMap<>();
+    /** Pages that are being read for it. */
+    private final Set<Long> reads = new HashSet<>();
     private final RpcDecoder decoder;
     private ChannelHandlerContext channel;
     private long lastUsedAt;
@@ -77,6 +81,9 @@
             } else if (call.method().equals("heartbeat")) {
                 use();
                 channel.writeAndFlush(RpcWriter.heartbeat(channel.alloc(), call.id(), front.able()));
+            } else if (front.kept() != null && (call.method().equals("page")
+                    || call.method().equals("release"))) {
+                kept(call);
             } else if (open.size() >= front.limits().clientQueries) {
                 turnAway(call.id());
             } else {
@@ -96,6 +103,58 @@
         }
     }
 
+    private void kept(RpcDecoder.Call call) {
+        if (reads.contains(call.id())) {
+            spoilt(call.id(), "the id is open already");
+        } else if (call.method().equals("release")) {
+            use();
+            front.kept().release(this, call.id(), call.fields());
+        } else if (reads.size() >= front.limits().clientQueries) {
+            turnAway(call.id());
+        } else {
+            use();
+            reads.add(call.id());
+            front.kept().ask(this, call.id(), call.fields());
+        }
+    }
+
+    /** A page of an answer that is kept. */
+    void page(long id, int sheet, ByteBuf text) {
+        if (reads.remove(id) && channel.channel().isActive()) {
+            use();
+            int length = text.readableBytes();
+            channel.write(RpcWriter.rowsHead(channel.alloc(), id, length));
+            channel.write(text);
+            front.hold(length);
+            channel.writeAndFlush(RpcWriter.rowsTail(channel.alloc(), "sheet", Integer.toString(sheet)))
+                    .addListener(done -> {
+                        front.hold(-length);
+                        progress = true;
+                    });
+        }
+    }
+
+    void readLater(long id, long pauseMs, String why) {
+        reads.remove(id);
+        front.log().line("page not read", why);
+        shed(id, pauseMs);
+    }
+
+    void readError(long id, String why) {
+        reads.remove(id);
+        error(id, why);
+    }
+
+    /** The answer is gone, and its query may be asked once more without harm. */
+    void askAnew(long id, String why) {
+        reads.remove(id);
+        channel.writeAndFlush(RpcWriter.error(channel.alloc(), id, "Shed", "say", why));
+    }
+
+    void released(long id) {
+        channel.writeAndFlush(RpcWriter.heartbeat(channel.alloc(), id, true));
+    }
+
     /** An error, and the end of a connection on which nothing can be told apart any more. */
     void spoilt(long id, String why) {
         front.log().line("client connection closed, numbers used twice", why);
@@ -126,6 +185,23 @@
         });
     }
 
+    /** The first page of an answer that is kept, and how to come for the others. */
+    void firstPage(OpenQuery q, Submission s) {
+        open.remove(q.messageId);
+        use();
+        ByteBuf first = s.pages[0];
+        int length = first.readableBytes();
+        channel.write(RpcWriter.rowsHead(channel.alloc(), q.messageId, length));
+        channel.write(first.retain());
+        front.hold(length);
+        channel.writeAndFlush(RpcWriter.rowsTail(channel.alloc(), "sheets", Integer.toString(s.sheets),
+                "handle",
+                s.handle, "kept", Long.toString(s.keptForMs))).addListener(done -> {
+                    front.hold(-length);
+                    progress = true;
+                });
+    }
+
     /** A retry is safe; {@code comeBack} in tenths, 0 for no time named. */
     void defer(OpenQuery q, long comeBack) {
         open.remove(q.messageId);
--- a/src/main/java/reedspring/net/EngineConnection.java
+++ b/src/main/java/reedspring/net/EngineConnection.java
@@ -20,6 +20,7 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.ClosedChannelException;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -177,7 +178,7 @@
     /** What comes for the submission later is dropped. */
     void drop(Submission s) {
         if (open.remove(s.query.trace, s)) {
-            if (s.pages != null && s.pages.length > 1 && up) {
+            if (s.sheets > 1 && up) {
                 command(null, "done", s.query.trace);
             }
             if (s.written && (s.pages == null || s.missing > 0)) {
@@ -302,9 +303,17 @@
         }
     }
 
+    /** Wanted for the spool, as far as it has room. */
+    void more(Submission s, int page) {
+        command(null, "more", s.query.trace, Integer.toString(page));
+    }
+
     private void data(Submission s, AnswerDecoder.Answer answer, boolean late) {
         double sheets = figure(answer, "sheets", 1);
-        if (!(sheets >= 1 && sheets <= limits.pages)) {
+        boolean keeps = s != null && s.pages == null && s.query.paged && sheets > 1
+                && sheets == Math.rint(sheets)
+                && sheets <= Integer.MAX_VALUE;
+        if (!(sheets >= 1 && (keeps || sheets <= limits.pages))) {
             throw new CorruptedFrameException("a result of " + sheets + " pages");
         }
         if (s == null || s.pages != null) {
@@ -314,10 +323,18 @@
             }
             return;
         }
-        s.pages = new ByteBuf[(int) sheets];
-        s.missing = s.pages.length;
+        s.sheets = (int) sheets;
+        s.missing = s.sheets;
         front.seenEnd(s);
         s.work = Math.round(Math.max(0, figure(answer, "toil", 0)) * 10);
+        if (keeps && !s.query.answered) {
+            s.pages = new ByteBuf[1];
+            s.came = new BitSet();
+            keep(s, 0, answer.body());
+            front.kept().begin(s);
+            return;
+        }
+        s.pages = new ByteBuf[s.sheets];
         keep(s, 0, answer.body());
         if (s.over) {
             return;
@@ -342,9 +359,20 @@
             return;
         }
         double sheet = figure(answer, "sheet", -1);
-        if (s.pages == null || !(sheet >= 0 && sheet < s.pages.length) || sheet != Math.rint(sheet)) {
+        if (s.pages == null || !(sheet >= 0 && sheet < s.sheets) || sheet != Math.rint(sheet)) {
             throw new CorruptedFrameException("a page that the result does not have");
         }
+        if (s.came != null) {
+            if (!s.came.get((int) sheet)) {
+                if (!rows.whole(answer.body())) {
+                    throw new CorruptedFrameException("a page that is no whole rows");
+                }
+                s.came.set((int) sheet);
+                s.missing--;
+                front.kept().came(s, (int) sheet, answer.body());
+            }
+            return;
+        }
         keep(s, (int) sheet, answer.body());
     }
 
@@ -358,7 +386,10 @@
         s.pages[at] = page.retain();
         s.bytes += page.readableBytes();
         front.hold(page.readableBytes());
-        if (s.bytes > limits.answerBytes) {
+        if (s.came != null) {
+            s.came.set(at);
+            s.missing--;
+        } else if (s.bytes > limits.answerBytes) {
             front.log().line("engine result over the limit", engine);
             front.closed(s, Outcome.ERROR);
         } else if (--s.missing == 0) {
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -13,6 +13,7 @@
 import java.util.stream.Stream;
 import reedspring.Control;
 import reedspring.api.Action;
+import reedspring.api.Deployment;
 import reedspring.api.Event;
 import reedspring.api.Event.Outcome;
 import reedspring.api.Id;
@@ -40,6 +41,7 @@
     private final ArrayDeque<Submission> departures = new ArrayDeque<>();
     private final EventLoop loop;
     private Runnable source = () -> { };
+    private KeptAnswers kept;
     private long newsAt;
     private final Map<Id.Query, OpenQuery> queries = new LinkedHashMap<>();
     private final Map<String, OpenQuery> traces = new HashMap<>();
@@ -54,12 +56,12 @@
     private long held;
     private long sumAt;
 
-    Front(EventLoop loop, Turns turns, Boot boot, Limits limits, long seed) {
+    Front(EventLoop loop, Turns turns, Boot boot, Limits limits, Log log, long seed) {
         this.loop = loop;
         this.boot = boot;
         this.limits = limits;
         this.clock = new Clock();
-        this.log = new Log(limits);
+        this.log = log;
         this.timers = new Timers(loop, turns, clock, log, limits);
         this.engines = new Engines(loop, limits, this);
         this.sumAt = clock.now() + limits.logEvery * 10L;
@@ -85,6 +87,15 @@
         return limits;
     }
 
+    /** Where answers are kept on disk, or null. */
+    KeptAnswers kept() {
+        return kept;
+    }
+
+    void keepsAnswers(KeptAnswers where) {
+        kept = where;
+    }
+
     /** Whether it can decide and means to stay. */
     boolean able() {
         return listed && !leaving;
@@ -209,6 +220,14 @@
         OpenQuery q = new OpenQuery(new Id.Query(++ids), call.id(), client, trace, call.method(),
                 call.body().retain(), Math.min(stayUntil,
                         arrivedAt + Times.nearest(patience)));
+        q.paged = kept != null && "1".equals(fields.get("pages"));
+        if (q.paged) {
+            q.tenant = fields.getOrDefault("customer", "");
+            Deployment.ResourceGroup known = boot.deployment().groups().get(group.index());
+            q.repeatable = known.effect() == Deployment.Effect.READ_ONLY
+                    || known.effect() == Deployment.Effect.TOKENED
+                            && known.recognised() == Deployment.Recognised.ALL;
+        }
         queries.put(q.id, q);
         traces.put(trace, q);
         hold(q.statement.readableBytes());
@@ -348,7 +367,7 @@
         } else if (action instanceof Action.WakeMe wake) {
             timers.in(wake.span(), () -> on(new Event.Woken(wake.timer())));
         } else if (action instanceof Action.Remark remark) {
-            log.line(remark.text(), "");
+            log.remark("decision", remark.text());
         }
         // FollowEngines asks for nothing more here: the journal is followed from the start.
     }
@@ -420,9 +439,14 @@
             s.connection.drop(s);
         }
         Outcome outcome = seen;
+        if (kept != null) {
+            kept.over(s);
+        }
         if (outcome == Outcome.FINISHED && !q.answered) {
             q.answered = true;
-            if (s.missing == 0) {
+            if (s.handle != null) {
+                q.client.firstPage(q, s);
+            } else if (s.missing == 0) {
                 q.client.rows(q, List.of(s.pages));
             } else {
                 q.client.kill(q, "no room for the result");
@@ -457,6 +481,9 @@
         timers.in(limits.tick * 10L, this::tick);
         long now = clock.now();
         engines.tick(now);
+        if (kept != null) {
+            kept.tick();
+        }
         List.copyOf(newcomers).forEach(client -> client.tick(now));
         List.copyOf(clients).forEach(client -> client.tick(now));
         if (now >= sumAt) {
@@ -472,7 +499,7 @@
     void leave(Runnable left) {
         leaving = true;
         stayUntil = clock.now() + limits.leavingLongest * 10L;
-        log.once("leaving, " + queries.size() + " queries open");
+        log.once("leaving,", queries.size() + " queries open");
         leaveLater(clock.now(), left);
     }
 
@@ -494,7 +521,7 @@
                 && (Stream.concat(newcomers.stream(), clients.stream()).noneMatch(ClientConnection::unsent)
                         || gone >= (limits.leavingLongest + limits.leavingFlush) * 10L);
         if (gone >= limits.leavingQuiet * 10L && done) {
-            log.once("left");
+            log.once("left", "");
             log.sum();
             left.run();
         } else {
--- a/src/main/java/reedspring/net/Log.java
+++ b/src/main/java/reedspring/net/Log.java
@@ -4,30 +4,68 @@
 import java.util.Map;
 import org.tinylog.Logger;
 
-/** The front's log. Of each kind of line one is written in a span; the rest are counted and summed up. */
+/**
+ * The front's log. Of each kind of line one is written in a span; the rest are counted and summed up. A line
+ * has an event, which docs/on-call.md names, and mostly a detail; an installation may have them as JSON
+ * objects.
+ */
 final class Log {
     private final Limits limits;
+    private final JsonLines json;
     private final Map<String, int[]> seen = new LinkedHashMap<>();
 
-    Log(Limits limits) {
+    /** What writes lines as JSON objects; not loaded where nobody wants them. */
+    interface JsonLines {
+        String line(String level, String event, String detail, int more);
+    }
+
+    /** @param json null for plain text */
+    Log(Limits limits, JsonLines json) {
         this.limits = limits;
+        this.json = json;
     }
 
     /** A line that comes once in a front's life. */
-    void once(String line) {
-        Logger.info(line);
+    void once(String event, String detail) {
+        Logger.info(json != null ? json.line("info", event, detail, 0) : joined(event, " ", detail));
+    }
+
+    void line(String event, String detail) {
+        line(event, event, detail);
+    }
+
+    /** A line whose text tells its kind by itself; where lines are objects, its event is named apart. */
+    void remark(String event, String text) {
+        line(text, json == null ? text : event, json == null ? "" : text);
     }
 
-    void line(String kind, String detail) {
+    private void line(String kind, String event, String detail) {
         if (count(kind)[0]++ == 0) {
-            Logger.warn(detail.isEmpty() ? kind : kind + ": " + printable(detail));
+            Logger.warn(json != null ? json.line("warn", event, printable(detail), 0)
+                    : joined(event, ": ", printable(detail)));
         }
     }
 
+    private static String joined(String event, String by, String detail) {
+        return detail.isEmpty() ? event : event + by + detail;
+    }
+
     void fault(String kind, Throwable cause) {
         if (count(kind)[0]++ == 0) {
-            Logger.error(cause, kind);
+            if (json != null) {
+                Logger.error(json.line("error", kind, trace(cause), 0));
+            } else {
+                Logger.error(cause, kind);
+            }
+        }
+    }
+
+    private static String trace(Throwable cause) {
+        StringBuilder text = new StringBuilder(cause.toString());
+        for (StackTraceElement at : cause.getStackTrace()) {
+            text.append("\n at ").append(at);
         }
+        return text.toString();
     }
 
     /** Kinds name engines, too, so that their number has to be bounded as well. */
@@ -40,7 +78,11 @@
     void sum() {
         seen.forEach((kind, count) -> {
             if (count[0] > 1) {
-                Logger.warn("{}: {} more like it", kind, count[0] - 1);
+                if (json != null) {
+                    Logger.warn(json.line("warn", kind, "", count[0] - 1));
+                } else {
+                    Logger.warn("{}: {} more like it", kind, count[0] - 1);
+                }
             }
         });
         seen.clear();
--- a/src/main/java/reedspring/net/OpenQuery.java
+++ b/src/main/java/reedspring/net/OpenQuery.java
@@ -14,6 +14,10 @@
     final ByteBuf statement;
     final long leavesAt;
     Event.Taken taken;
+    /** Whether its client takes pages, and what the spool has to know of it then. */
+    boolean paged;
+    boolean repeatable;
+    String tenant;
     int priority = -1;
     int submissions;
     Submission out;
--- a/src/main/java/reedspring/net/RpcWriter.java
+++ b/src/main/java/reedspring/net/RpcWriter.java
@@ -23,9 +23,13 @@
         return out;
     }
 
-    /** What stands behind it: no fields. */
-    static ByteBuf rowsTail(ByteBufAllocator buffers) {
-        return buffers.buffer(1).writeByte(0x80);
+    /** What stands behind it: up to 15 fields, name and value in turn. */
+    static ByteBuf rowsTail(ByteBufAllocator buffers, String... fields) {
+        ByteBuf out = buffers.buffer(128).writeByte(0x80 | fields.length / 2);
+        for (String each : fields) {
+            text(out, each);
+        }
+        return out;
     }
 
     static ByteBuf heartbeat(ByteBufAllocator buffers, long id, boolean able) {
--- a/src/main/java/reedspring/net/Startup.java
+++ b/src/main/java/reedspring/net/Startup.java
@@ -26,6 +26,7 @@
 import org.tinylog.provider.ProviderRegistry;
 import reedspring.boot.Boot;
 import reedspring.boot.BootException;
+import reedspring.settings.StandingOrders;
 import sun.misc.Signal;
 import sun.misc.SignalHandler;
 
@@ -38,6 +39,7 @@
     private static final int USUAL_MEMORY_MB = 192;
     private static final int LEAST_MEMORY_MB = 64;
     private static final long LOG_CLOSING_MS = 100;
+    private static final long SPOOL_CLOSING_MS = 300;
 
     private Startup() {
     }
@@ -67,10 +69,12 @@
     }
 
     /**
-     * Serves until the process is ended; returns an exit code only if the front can't come up. The caller has
-     * to halt with it, as an ordinary exit runs the hook that SIGTERM runs.
+     * Serves until the process is ended, with what the installation switches on, if anything is not null;
+     * returns an exit code only if the front can't come up. The caller has to halt with it, as an ordinary
+     * exit runs the hook that SIGTERM runs.
      */
-    public static int serve(Map<String, String> environment) throws InterruptedException {
+    public static int serve(Map<String, String> environment, StandingOrders standing)
+            throws InterruptedException {
         Turns turns = new Turns();
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, turns);
         EventLoop loop = group.next();
@@ -84,7 +88,7 @@
                 signal -> reload(loop, raised.get(), journal.get(), path)) == SignalHandler.SIG_IGN;
         try {
             Orders orders = Orders.read(path);
-            journal.set(loop.submit(() -> raise(loop, turns, orders, raised)).get());
+            journal.set(loop.submit(() -> raise(loop, turns, orders, standing, raised)).get());
             Front front = raised.get();
             ChannelFuture bound = server(group, front, orders.limits()).bind(orders.listen());
             if (!bound.awaitUninterruptibly().isSuccess()) {
@@ -94,7 +98,7 @@
             if (deaf) {
                 front.log().line("SIGHUP is ignored by what started the front, no reload is heard", "");
             }
-            front.log().once("front " + orders.name() + " serves on " + orders.listen());
+            front.log().once("front " + orders.name() + " serves on", orders.listen().toString());
             bound.channel().closeFuture().sync();
             return UNAVAILABLE;
         } catch (BootException e) {
@@ -108,9 +112,17 @@
         }
     }
 
-    private static Journal raise(EventLoop loop, Turns turns, Orders orders,
+    private static Journal raise(EventLoop loop, Turns turns, Orders orders, StandingOrders standing,
                                  AtomicReference<Front> raised) throws BootException {
-        Front front = new Front(loop, turns, orders.boot(), orders.limits(), orders.seed());
+        Log log = new Log(orders.limits(), standing != null && standing.jsonLog() ? new JsonLog() : null);
+        Front front = new Front(loop, turns, orders.boot(), orders.limits(), log, orders.seed());
+        if (standing != null && standing.spool() != null) {
+            try {
+                front.keepsAnswers(new KeptAnswers(front, loop, orders.name(), standing.spool()));
+            } catch (IOException e) {
+                throw new BootException("[spool] folder", e.getMessage());
+            }
+        }
         raised.set(front);
         Journal journal = new Journal(loop, front, orders.limits(), orders.journal(), ~orders.seed());
         front.newsFrom(journal::readNow);
@@ -153,6 +165,10 @@
         loop.execute(() -> front.leave(left::countDown));
         try {
             left.await();
+            if (front.kept() != null && !front.kept().close(SPOOL_CLOSING_MS)) {
+                front.log().once("spool not closed,",
+                        "what it had begun is looked through at the next start");
+            }
             // The last lines, unless nobody takes the log any more.
             Thread closing = new Thread(Startup::closeLog);
             closing.setDaemon(true);
@@ -195,6 +211,16 @@
                 });
     }
 
+    /** What is wrong with a configuration file, or null. */
+    public static String fault(String path) {
+        try {
+            Orders.read(path);
+            return null;
+        } catch (BootException e) {
+            return e.getMessage();
+        }
+    }
+
     private static Map<?, ?> file(String path) throws BootException {
         if (path == null || path.isEmpty()) {
             throw new BootException("RELAY_CONFIG", "missing");
--- a/src/main/java/reedspring/net/Submission.java
+++ b/src/main/java/reedspring/net/Submission.java
@@ -1,7 +1,9 @@
 package reedspring.net;
 
 import io.netty.buffer.ByteBuf;
+import java.util.BitSet;
 import reedspring.api.Id;
+import reedspring.spool.AnswerId;
 
 /** One submission of a query to an engine, until its outcome. */
 final class Submission {
@@ -16,6 +18,12 @@
     /** Set once the engine has ended well: the pages, null where one is still to come. */
     ByteBuf[] pages;
     int missing;
+    int sheets;
+    /** Where the answer is kept on disk: its name, the pages that have come, and what its client is told. */
+    AnswerId kept;
+    BitSet came;
+    String handle;
+    long keptForMs;
     int bytes;
     long endedAt;
     long unseen;
--- /dev/null
+++ b/src/main/java/reedspring/spool/store/FileDisk.java
@@ -0,0 +1,130 @@
+package reedspring.spool.store;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import java.util.stream.Stream;
+
+/** A folder of the machine's, held by one process at a time. */
+public final class FileDisk implements Disk {
+    private static final String LOCK = "lock";
+
+    private final Path folder;
+    private final FileChannel lock;
+
+    /** With {@code alone} false it is looked at beside a front that holds it. */
+    public FileDisk(Path folder, boolean alone) throws IOException {
+        if (!Files.isDirectory(folder)) {
+            throw new IOException(folder + " is no folder");
+        }
+        this.folder = folder;
+        this.lock = alone ? hold(folder) : null;
+    }
+
+    private static FileChannel hold(Path folder) throws IOException {
+        FileChannel channel = FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE,
+                StandardOpenOption.WRITE);
+        FileLock held = null;
+        try {
+            held = channel.tryLock();
+        } catch (OverlappingFileLockException e) {
+            // by this very process
+        }
+        if (held == null) {
+            channel.close();
+            throw new IOException(folder + " is held by another front");
+        }
+        return channel;
+    }
+
+    @Override
+    public List<String> list() throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.map(file -> file.getFileName().toString()).filter(name ->
+                    !name.equals(LOCK)).sorted()
+                    .toList();
+        }
+    }
+
+    @Override
+    public Out create(String name) throws IOException {
+        FileChannel file = FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE_NEW,
+                StandardOpenOption.WRITE);
+        return new Out() {
+            @Override
+            public void write(ByteBuffer bytes) throws IOException {
+                while (bytes.hasRemaining()) {
+                    if (file.write(bytes) <= 0) {
+                        throw new IOException("nothing more is taken");
+                    }
+                }
+            }
+
+            @Override
+            public void sync() throws IOException {
+                file.force(false);
+            }
+
+            @Override
+            public void close() throws IOException {
+                file.close();
+            }
+        };
+    }
+
+    @Override
+    public In open(String name) throws IOException {
+        FileChannel file = FileChannel.open(folder.resolve(name), StandardOpenOption.READ);
+        return new In() {
+            @Override
+            public long size() throws IOException {
+                return file.size();
+            }
+
+            @Override
+            public void read(ByteBuffer into, long at) throws IOException {
+                long from = at;
+                for (int got = 0; into.hasRemaining() && got >= 0; from += Math.max(0, got)) {
+                    got = file.read(into, from);
+                }
+            }
+
+            @Override
+            public void close() throws IOException {
+                file.close();
+            }
+        };
+    }
+
+    @Override
+    public void rename(String from, String to) throws IOException {
+        Files.move(folder.resolve(from), folder.resolve(to), StandardCopyOption.ATOMIC_MOVE,
+                StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    @Override
+    public void delete(String name) throws IOException {
+        Files.deleteIfExists(folder.resolve(name));
+    }
+
+    @Override
+    public void syncNames() throws IOException {
+        try (FileChannel names = FileChannel.open(folder, StandardOpenOption.READ)) {
+            names.force(true);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        if (lock != null) {
+            lock.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/reedspring/spool/store/Survey.java
@@ -0,0 +1,73 @@
+package reedspring.spool.store;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import reedspring.spool.AnswerId;
+import reedspring.spool.Word;
+
+/**
+ * What lies in a spool's folder, of whichever front, for those who look at it from outside. Taking one
+ * changes nothing; what a running front deletes meanwhile is left out.
+ */
+public record Survey(Map<Long, Long> segments, List<Answer> answers, List<String> remarks,
+        List<String> faults,
+                     long pagesRead) {
+    /** Times are Unix tenths of a millisecond. */
+    public record Answer(AnswerId id, String tenant, int pages, long bytes, long expiresAt, long segment) {
+    }
+
+    /** @param pages whether every page is read */
+    public static Survey of(Disk disk, boolean pages) throws IOException {
+        List<String> remarks = new ArrayList<>();
+        List<String> faults = new ArrayList<>();
+        Map<Long, Long> segments = new TreeMap<>();
+        List<Answer> answers = new ArrayList<>();
+        long read = 0;
+        Set<String> fronts = new HashSet<>(Store.fronts(disk, remarks::add));
+        for (String front : fronts) {
+            Store store = new Store(disk, front, Format.MOST_PAGE);
+            Word.Found found = store.look(remarks::add);
+            found.segments().forEach(segment -> segments.put(segment.number(), segment.bytes()));
+            for (Word.FoundAnswer answer : found.answers()) {
+                if (!store.holds(answer.answer(), answer.segment())) {
+                    // An older copy: what it was moved from.
+                    continue;
+                }
+                answers.add(new Answer(answer.answer(), answer.tenant(), answer.pages(), answer.bytes(),
+                        answer.expiresAt(), answer.segment()));
+                for (int page = 0; pages && page < answer.pages(); page++) {
+                    try {
+                        store.read(answer.answer(), page);
+                        read++;
+                    } catch (IOException e) {
+                        if (disk.list().contains(Format.segment(answer.segment()))) {
+                            faults.add("answer " + answer.answer() + " page " + page + ": " + e.getMessage());
+                        }
+                        break;
+                    }
+                }
+            }
+            store.closeFiles();
+        }
+        return new Survey(segments, answers, remarks, faults, read);
+    }
+
+    /** Deletes the segments in which nothing lives past that time; their numbers. */
+    public List<Long> expire(Disk disk, long time) throws IOException {
+        List<Long> deleted = new ArrayList<>();
+        for (long segment : segments.keySet()) {
+            if (answers.stream().noneMatch(a -> a.segment() == segment && a.expiresAt() > time)) {
+                disk.delete(Format.index(segment));
+                disk.delete(Format.segment(segment));
+                deleted.add(segment);
+            }
+        }
+        disk.syncNames();
+        return deleted;
+    }
+}
--- a/src/rig/java/reedspring/rig/Client.java
+++ b/src/rig/java/reedspring/rig/Client.java
@@ -5,9 +5,13 @@
 import java.io.Closeable;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
+import java.io.FilterInputStream;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.InterruptedIOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
@@ -24,10 +28,53 @@
     private static final AtomicLong TRACES = new AtomicLong(0x1234_5678_9abc_def0L);
 
     public Client(int port) throws IOException {
-        socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        this(port, Integer.MAX_VALUE);
+    }
+
+    /** Takes no more than so many bytes a second, and its kernel little more. */
+    public Client(int port, int bytesPerSecond) throws IOException {
+        socket = new Socket();
+        if (bytesPerSecond < Integer.MAX_VALUE) {
+            socket.setReceiveBufferSize(2048);
+        }
+        socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
         socket.setTcpNoDelay(true);
         socket.setSoTimeout((int) Rig.PATIENCE_S * 1000);
-        in = new DataInputStream(new BufferedInputStream(socket.getInputStream()));
+        in = new DataInputStream(bytesPerSecond < Integer.MAX_VALUE
+                ? new Slow(socket.getInputStream(), bytesPerSecond)
+                : new BufferedInputStream(socket.getInputStream()));
+    }
+
+    /** A line that lets a tenth of its bytes through ten times a second. */
+    private static final class Slow extends FilterInputStream {
+        private final int each;
+        private int left;
+
+        Slow(InputStream in, int bytesPerSecond) {
+            super(in);
+            each = Math.max(1, bytesPerSecond / 10);
+        }
+
+        @Override
+        public int read() throws IOException {
+            byte[] one = new byte[1];
+            return read(one, 0, 1) < 0 ? -1 : one[0] & 0xff;
+        }
+
+        @Override
+        public int read(byte[] into, int from, int length) throws IOException {
+            if (left == 0) {
+                try {
+                    Thread.sleep(100);
+                } catch (InterruptedException e) {
+                    throw new InterruptedIOException();
+                }
+                left = each;
+            }
+            int got = super.read(into, from, Math.min(length, left));
+            left -= Math.max(0, got);
+            return got;
+        }
     }
 
     public static String trace() {
--- a/src/rig/java/reedspring/rig/Program.java
+++ b/src/rig/java/reedspring/rig/Program.java
@@ -29,6 +29,12 @@
         this(config, home, List.of("/bin/sh", "-c", run(home)));
     }
 
+    /** With an installation's settings. */
+    public static Program with(String config, Path settings) throws IOException {
+        return new Program(config, Path.of("."),
+                List.of("/bin/sh", "-c", run(Path.of(".")) + " --settings " + settings));
+    }
+
     /** Started by what ignores SIGHUP, as nohup and some supervisors do. */
     public static Program ofOneThatIgnoresSighup(String config) throws IOException {
         return new Program(config, Path.of("."),
--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -391,7 +391,7 @@
         Boot boot = new Boot(Map.of());
         Limits limits = new Limits(boot, 1024, 192);
         loop.submit(() -> {
-            Front made = new Front(loop, turns, boot, limits, 1);
+            Front made = new Front(loop, turns, boot, limits, new Log(limits, null), 1);
             OpenQuery q = new OpenQuery(new Id.Query(1), 1, null, Client.trace(), "lookup",
                     Unpooled.EMPTY_BUFFER, made.clock().now() + 50_000);
             Submission s = new Submission(q, made.clock().now(), q.leavesAt);
--- a/src/test/java/reedspring/net/LoopTest.java
+++ b/src/test/java/reedspring/net/LoopTest.java
@@ -65,7 +65,7 @@
         settings.put("allowed.sendCap", Integer.toString(submissions));
         Boot boot = new Boot(settings);
         limits = new Limits(boot, 1024, 192);
-        front = onLoop(() -> new Front(loop, turns, boot, limits, 1));
+        front = onLoop(() -> new Front(loop, turns, boot, limits, new Log(limits, null), 1));
     }
 
     @AfterTry
