The platform's line loads no class of what is off there; what may use what is held by a test

Need: a starting front on half a core pays for each class. A test that reads the JVM's own list of loaded classes found the settings' type among them, named by a lambda of the start. Change: what an installation adds stands behind an interface.

--- a/src/main/java/reedspring/Main.java
+++ b/src/main/java/reedspring/Main.java
@@ -16,7 +16,7 @@
 
     public static void main(String[] args) throws InterruptedException {
         if (args.length == 1 && args[0].equals("serve")) {
-            Runtime.getRuntime().halt(Startup.serve(System.getenv(), null));
+            Runtime.getRuntime().halt(Startup.serve(System.getenv()));
         }
         if (args.length != 1 || !args[0].equals("adapter")) {
             System.exit(Commands.run(args));
--- a/src/main/java/reedspring/cli/Commands.java
+++ b/src/main/java/reedspring/cli/Commands.java
@@ -62,8 +62,8 @@
         @Override
         public Integer call() throws SettingsException, InterruptedException {
             // An ordinary exit would run the hook that SIGTERM runs.
-            Runtime.getRuntime().halt(Startup.serve(System.getenv(),
-                    settings == null ? null : StandingOrders.read(settings)));
+            Runtime.getRuntime().halt(settings == null ? Startup.serve(System.getenv())
+                    : Startup.serve(System.getenv(), StandingOrders.read(settings)));
             return 0;
         }
     }
--- a/src/main/java/reedspring/net/Startup.java
+++ b/src/main/java/reedspring/net/Startup.java
@@ -69,12 +69,30 @@
     }
 
     /**
-     * Serves until the process is ended, with what the installation switches on, if anything is not null;
+     * Serves until the process is ended, with what the installation switches on;
      * returns an exit code only if the front can't come up. The caller has to halt with it, as an ordinary
      * exit runs the hook that SIGTERM runs.
      */
     public static int serve(Map<String, String> environment, StandingOrders standing)
             throws InterruptedException {
+        return serve(environment, new Installation(standing));
+    }
+
+    /** The platform's front: nothing is switched on, and no class of what could be is loaded. */
+    public static int serve(Map<String, String> environment) throws InterruptedException {
+        return serve(environment, (Additions) null);
+    }
+
+    /** What an installation adds to a front, behind an interface so that naming it loads none of it. */
+    interface Additions {
+        /** Null for plain text. */
+        Log.JsonLines jsonLines();
+
+        void join(Front front, EventLoop loop, String name) throws BootException;
+    }
+
+    private static int serve(Map<String, String> environment, Additions additions)
+            throws InterruptedException {
         Turns turns = new Turns();
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, turns);
         EventLoop loop = group.next();
@@ -88,7 +106,7 @@
                 signal -> reload(loop, raised.get(), journal.get(), path)) == SignalHandler.SIG_IGN;
         try {
             Orders orders = Orders.read(path);
-            journal.set(loop.submit(() -> raise(loop, turns, orders, standing, raised)).get());
+            journal.set(loop.submit(() -> raise(loop, turns, orders, additions, raised)).get());
             Front front = raised.get();
             ChannelFuture bound = server(group, front, orders.limits()).bind(orders.listen());
             if (!bound.awaitUninterruptibly().isSuccess()) {
@@ -112,16 +130,12 @@
         }
     }
 
-    private static Journal raise(EventLoop loop, Turns turns, Orders orders, StandingOrders standing,
+    private static Journal raise(EventLoop loop, Turns turns, Orders orders, Additions additions,
                                  AtomicReference<Front> raised) throws BootException {
-        Log log = new Log(orders.limits(), standing != null && standing.jsonLog() ? new JsonLog() : null);
+        Log log = new Log(orders.limits(), additions == null ? null : additions.jsonLines());
         Front front = new Front(loop, turns, orders.boot(), orders.limits(), log, orders.seed());
-        if (standing != null && standing.spool() != null) {
-            try {
-                front.keepsAnswers(new KeptAnswers(front, loop, orders.name(), standing.spool()));
-            } catch (IOException e) {
-                throw new BootException("[spool] folder", e.getMessage());
-            }
+        if (additions != null) {
+            additions.join(front, loop, orders.name());
         }
         raised.set(front);
         Journal journal = new Journal(loop, front, orders.limits(), orders.journal(), ~orders.seed());
--- a/src/rig/java/reedspring/rig/Appends.java
+++ b/src/rig/java/reedspring/rig/Appends.java
@@ -11,6 +11,8 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.stream.Stream;
+import org.h2.mvstore.MVMap;
+import org.h2.mvstore.MVStore;
 import reedspring.spool.AnswerId;
 import reedspring.spool.store.FileDisk;
 import reedspring.spool.store.Store;
@@ -95,12 +97,46 @@
             }
             double read = (System.nanoTime() - since) / 1e9;
             String at = String.format("%.1fgb", gb).replace('.', '_');
-            return String.format(
+            return embedded(folder.resolve("embedded"), ids.size(), at) + " " + String.format(
                     "append_%s_mb_s=%.0f plain_%s_mb_s=%.0f read_%s_pages_s=%.0f recovery_%s_ms=%.1f",
                     at, bytes / MB / append, at, bytes / MB / plain, at, reads / read, at, recovery * 1000);
         }
     }
 
+    /**
+     * The index alone in an embedded store, for the design note: the same answers with the places of their
+     * pages, made last as often; then opened again, and read as after a start.
+     */
+    private static String embedded(Path file, int answers, String at) {
+        byte[] entry = new byte[100 + 12 * PAGES];
+        new SplittableRandom(3).nextBytes(entry);
+        long since = System.nanoTime();
+        try (MVStore store = new MVStore.Builder().fileName(file.toString()).autoCommitDisabled().open()) {
+            MVMap<Long, byte[]> map = store.openMap("answers");
+            for (long k = 0; k < answers; k++) {
+                map.put(k, entry);
+                if (k % GROUP == GROUP - 1) {
+                    store.commit();
+                    store.sync();
+                }
+            }
+            store.commit();
+            store.sync();
+        }
+        double put = (System.nanoTime() - since) / 1e9;
+        since = System.nanoTime();
+        try (MVStore store = new MVStore.Builder().fileName(file.toString()).open()) {
+            MVMap<Long, byte[]> map = store.openMap("answers");
+            long all = 0;
+            for (Long key : map.keySet()) {
+                all += map.get(key).length;
+            }
+            Rig.require(all == (long) answers * entry.length, "entries are missing");
+        }
+        double opened = (System.nanoTime() - since) / 1e9;
+        return String.format("mvstore_put_%s_s=%.2f mvstore_open_%s_ms=%.1f", at, put, at, opened * 1000);
+    }
+
     /** Seconds for the same bytes in one file, synced as often. */
     private static double plain(Path file, long bytes, byte[] page) throws IOException {
         long since = System.nanoTime();
--- a/src/rig/java/reedspring/rig/Program.java
+++ b/src/rig/java/reedspring/rig/Program.java
@@ -35,6 +35,12 @@
                 List.of("/bin/sh", "-c", run(Path.of(".")) + " --settings " + settings));
     }
 
+    /** With one more word for the JVM. */
+    public static Program withJvm(String config, String word) throws IOException {
+        return new Program(config, Path.of("."), List.of("/bin/sh", "-c", run(Path.of("."))
+                .replace(" -jar ", " " + word + " -jar ")));
+    }
+
     /** Started by what ignores SIGHUP, as nohup and some supervisors do. */
     public static Program ofOneThatIgnoresSighup(String config) throws IOException {
         return new Program(config, Path.of("."),
--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -703,6 +703,24 @@
         assertFalse(front.logged("no reload is heard"), front.log::toString);
     }
 
+    /** A starting front on half a core pays for each class: the platform's line loads none of what is off. */
+    @Example
+    void thePlatformsLineLoadsNothingOfWhatIsSwitchedOnElsewhere() throws Exception {
+        Path loaded = Files.createTempFile("reedspring", ".classes");
+        journal = open(new JournalStandIn());
+        front = open(Program.withJvm(Program.config(Program.freeAddress(), journal.address(),
+                event(1, true, host("e0", engine(1).address(), "ready"))),
+                "-Xlog:class+load:file=" + loaded)).ready();
+        serves();
+        List<String> lines = Files.readAllLines(loaded);
+        assertTrue(lines.stream().anyMatch(line -> line.contains("reedspring.net.Front ")));
+        for (String none : List.of("picocli", "org.apache.commons", "reedspring.settings", "reedspring.cli",
+                "reedspring.spool", "reedspring.net.KeptAnswers", "reedspring.net.JsonLog")) {
+            assertTrue(lines.stream().noneMatch(line -> line.contains(none)),
+                    () -> lines.stream().filter(line -> line.contains(none)).toList().toString());
+        }
+    }
+
     @Example
     void bytesThatTrickleAreNoSignOfLifeFromTheJournal() throws Exception {
         start(engine(1));
