--- a/src/main/java/reedspring/settings/StandingOrders.java
+++ b/src/main/java/reedspring/settings/StandingOrders.java
@@ -69,8 +69,8 @@
         long firstRest = ini.span(in, "first_rest", S, 10 * MS, 600 * S);
         Terms terms = new Terms(total, ini.part(in, "tenant_part", 0.25), headroom,
                 ini.span(in, "keep", 600 * S, S, 30 * DAY), longest, PAGE_BYTES, segment,
-                ini.size(in, "waiting", 4 * MB, 64 * KB, GB), (int) ini.count(in, "reads", 32, 1, 10_000),
-                (int) ini.count(in, "tenant_reads", 8, 1, 10_000), firstRest,
+                ini.size(in, "waiting", 4 * MB, 64 * KB, GB), (int) ini.count(in, "reads", 256, 1, 10_000),
+                (int) ini.count(in, "tenant_reads", 128, 1, 10_000), firstRest,
                 ini.span(in, "longest_rest", Math.max(60 * S, firstRest), firstRest, 3_600 * S));
         return new SpoolOrders(folder, keys, terms, ini.span(in, "group_commit", 5 * MS, 0, S));
     }
--- a/src/main/java/reedspring/spool/Spool.java
+++ b/src/main/java/reedspring/spool/Spool.java
@@ -27,6 +27,8 @@
     /** Over this part of the room, segments of which more than {@code DEAD} is dead are cleared. */
     private static final double CROWDED = 0.6;
     private static final double DEAD = 0.3;
+    /** A page is read in less than this, so that a reader who is told to wait for it finds room. */
+    private static final long SOON = 1_000;
 
     private final Terms terms;
     private final LongSupplier ids;
@@ -424,7 +426,7 @@
             reason = Reason.BUSY;
         }
         if (reason != null) {
-            out.accept(new Step.Say(asked.reader(), reason, reason == Reason.BUSY ? terms.firstRest() : 0));
+            out.accept(new Step.Say(asked.reader(), reason, reason == Reason.BUSY ? SOON : 0));
             return;
         }
         readers.put(asked.reader(), kept.tenant);
