A twelfth of the memory for what is held, so that a flood leaves room in the buffers

Cause: what is held was let grow to a tenth of the memory in bytes that had come; buffers grow by doubling, so a tenth can take a fifth, and buffers have a quarter in all (Limits, heldBytes).

Change: a twelfth.

--- a/src/main/java/reedspring/net/Limits.java
+++ b/src/main/java/reedspring/net/Limits.java
@@ -89,8 +89,9 @@
     final int flushes = 256;
 
     Limits(Boot boot, int sockets, long memoryMb) throws BootException {
-        // A tenth of the memory: parts of it are copied, and buffers are kept for use again.
-        heldBytes = (memoryMb << 20) / 10;
+        // A twelfth of the memory. Buffers have a quarter and grow by doubling: a tenth, doubled, left too
+        // little for reads and what lies between, and one flood in five met the end of direct memory.
+        heldBytes = (memoryMb << 20) / 12;
         clientConnections = sockets / 2;
         engineConnections = Math.max(1, Math.min(8, sockets / 64));
         allEngineConnections = sockets / 4;
