Engines that page are barred, memory leaves room for chance, ties go to a small circle

Fronts had 9 to 11 threads out under a bound of 8, nearly all on those eight, and deferred the rest. No cancel is heeded and a time-out stops no work that runs, so nothing left those engines, and each front that had not met one yet saw none of its own threads on it and sent one more.

--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -50,9 +50,13 @@
     private static final long ARRIVALS_WINDOW = 5 * SECOND;
     private static final double BUSY_SHARE = 0.6;
     // A share of one or two long queries, never passed, leaves engines idle while queries wait: what stood
-    // unused of it, up to some long queries, may be used later. The sum of all fronts is the same on average.
-    private static final double UNUSED_KEPT = 3;
+    // unused of it, up to a long query, may be used later. The sum of all fronts is the same on average, but
+    // a burst lets all of them use theirs at once, and what of memory is then too much is not soon over.
+    private static final double UNUSED_KEPT = 1;
+    private static final double UNUSED_MEMORY_KEPT = 0.5;
     private static final double MEMORY_PART = 0.8;
+    private static final double SCATTER = 2;
+    private static final double MOST_OF_ONE_QUERY = 0.5;
 
     // Health. At most half of the fleet may be barred: past that the trouble is not the engines'.
     private static final double MOST_BARRED = 0.5;
@@ -62,12 +66,18 @@
     private static final long FIRST_BAR = SECOND / 2;
     private static final long LONGEST_BAR = 4 * SECOND;
     private static final long SILENCE = SECOND;
+    private static final long GRACE = 300 * MS;
+    // A trial of an engine that crawls stays on it.
+    private static final long FIRST_CRAWL = 5 * SECOND;
+    private static final long LONGEST_CRAWL = 20 * SECOND;
     // Where a front takes few queries and many engines are barred, trials would take them all.
     private static final int QUERIES_A_TRIAL = 8;
     private static final double SLOWER = 1.4;
     private static final long LONGEST_GHOST = 10 * SECOND;
 
     private static final double COMES_LAST = 1e6;
+    private static final int CIRCLE = 6;
+    private static final int CIRCLE_A_BUSY_ONE = 2;
 
     // Of what would push a cold engine over: one part may stand filled while another flows in.
     private static final double COLD_PART = 0.4;
@@ -230,10 +240,14 @@
         private Id.Kind kind;
         private Id.Zone zone;
         private Id.Cell cell;
+        private final double rank = chance.nextDouble();
         private boolean gone;
         private long bar = FIRST_BAR;
+        private long longestBar = LONGEST_BAR;
         private long barredUntil;
         private long heardAt;
+        // When a run here last ended in about its time.
+        private long wellAt = Long.MIN_VALUE;
         // In queries of the lightest group.
         private double credit;
         private long creditAt;
@@ -275,6 +289,7 @@
                 faults[at] = 0;
                 barred[at] = false;
                 bar = FIRST_BAR;
+                longestBar = LONGEST_BAR;
                 credit = chance.nextDouble();
                 creditAt = now;
             }
@@ -309,6 +324,7 @@
             boolean bad = BAD.contains(outcome);
             if (outcome == Outcome.FINISHED) {
                 faults[at] *= barred[at] ? 0.5 : 0.75;
+                wellAt = closed.took() - closed.unseen() <= 2 * desk.expected(q) + GRACE ? now : wellAt;
                 pace(closed, q, closed.work() > 0 ? closed.work() : q.work);
             } else if (bad) {
                 faults[at] = Math.max(faults[at] + 0.25 * (1 - faults[at]),
@@ -323,9 +339,10 @@
             } else if (barred[at] && outcome == Outcome.FINISHED && !fails) {
                 barred[at] = false;
                 bar = FIRST_BAR;
+                longestBar = LONGEST_BAR;
                 out.accept(new Action.Remark("engine " + id.address() + " is back"));
             } else if (barred[at]) {
-                bar = bad ? Math.min(LONGEST_BAR, bar * 2) : bar;
+                bar = bad || outcome == Outcome.TIMED_OUT ? Math.min(longestBar, bar * 2) : bar;
                 barredUntil = now + bar;
             }
             post(desk, part -> part.back(q, closed));
@@ -361,6 +378,19 @@
             }
         }
 
+        /**
+         * An engine whose memory is full pages and ends nothing, while its notes go on. What crawls there
+         * would shut the gate to idle engines. Peers must have shown better meanwhile, the engine not.
+         */
+        private void crawls(Query q, int crawling) {
+            if (!barred[at] && wellAt < q.sentAt
+                    && fleet.stream().filter(e -> up[e.at] && e.wellAt >= q.sentAt).count() > crawling) {
+                bar = Math.max(bar, FIRST_CRAWL);
+                longestBar = LONGEST_CRAWL;
+                bar("crawls");
+            }
+        }
+
         private void bar(String why) {
             long all = IntStream.range(0, fleet.size()).filter(k -> up[k]).count();
             if (overOpen(k -> 1) - 1 >= all * (1 - MOST_BARRED)) {
@@ -495,7 +525,6 @@
         private final ArrayDeque<Long> takenAt = new ArrayDeque<>();
         private final ArrayDeque<Long> furtherAt = new ArrayDeque<>();
         private final double[] usualWork = new double[house.groups().size()];
-        private final int[] groupThreads = new int[house.groups().size()];
         private final int[] worksSeen = new int[house.groups().size()];
         private final double[] estimateError = new double[house.groups().size()];
         private final int mostThreads;
@@ -516,6 +545,8 @@
         // Over the share by one query at the start: shares of one or two long queries leave engines idle.
         private double grown;
         private double memoryRoom;
+        private double needs;
+        private double needsSquared;
         private double othersMemory;
         private boolean crowded;
         private boolean slack;
@@ -567,6 +598,8 @@
                 usual(q.group, q.work);
             }
             q.needMb = taken.needMb();
+            needs += 0.02 * (q.needMb - needs);
+            needsSquared += 0.02 * (q.needMb * q.needMb - needsSquared);
             q.dataSet = taken.dataSet();
             q.target = now + group.targetBase() + (long) (group.targetPerWork() * q.work / q.threads);
             queries.put(q.id, q);
@@ -620,7 +653,6 @@
             }
         }
 
-
         private double bound() {
             double sum = overOpen(Control.this::worth);
             return Math.max(mostThreads, (sum * THREADS_PER_CORE * share() + grown) * factor);
@@ -634,6 +666,22 @@
                     * SECOND / ARRIVALS_WINDOW / ratesTold));
         }
 
+        /**
+         * The mean of all needs on an engine at which what chance adds still fits: fronts spread blindly, and
+         * a sum scatters by the root of its mean times the usual size. Where no cancel is heeded, an engine
+         * over its memory stays there until all is run that nobody waits for; elsewhere it is soon back.
+         */
+        private double memoryPart() {
+            if (house.allowed().cancel()) {
+                return MEMORY_PART;
+            }
+            double size = needs <= 0 ? 0 : needsSquared / needs * overOpen(k -> 1)
+                    / Math.max(1, overOpen(k -> memoryMb[k]));
+            double scatter = (1 - share()) * SCATTER;
+            double root = (Math.sqrt(scatter * scatter * size + 4) - scatter * Math.sqrt(size)) / 2;
+            return Math.min(MEMORY_PART, root * root);
+        }
+
         /** What sits on a barred engine would otherwise shut the gate to all the others. */
         private double threadsOut() {
             return overOpen(k -> ownThreads[k]);
@@ -645,10 +693,18 @@
             double room = bound - threadsOut();
             idle = room >= bound;
             memoryPart = share() * (house.pages() ? 1 : 1 + grown / (bound / factor - grown));
-            memoryRoom = overOpen(k -> memoryMb[k] * memoryPart * MEMORY_PART - ownMemory[k]);
+            double ownPart = memoryPart * memoryPart() * overOpen(k -> memoryMb[k]);
             othersMemory = (1 / memoryPart - 1) * overOpen(k -> ownMemory[k])
                     / Math.max(1, overOpen(k -> memoryMb[k]));
+            double edge = circle();
             boolean mixed = Arrays.stream(waitingIn).filter(count -> count > 0).count() > 1;
+            int[] groupThreads = new int[waitingIn.length];
+            List<Query> running = queries.values().stream()
+                    .filter(q -> q.outAt >= 0 && !q.lost && !barred[q.outAt]).toList();
+            running.forEach(q -> groupThreads[q.group] += q.threads);
+            // One large query, let out on an idle front, would shut out all small ones while it runs.
+            memoryRoom = ownPart - overOpen(k -> ownMemory[k]) + Math.max(0, running.stream()
+                    .mapToDouble(q -> q.needMb).max().orElse(0) - ownPart * MOST_OF_ONE_QUERY);
             for (Purse purse : inOrder()) {
                 // While others wait, one group leaves them a part of the bound: in a line in arrival order
                 // short queries would lose their targets behind long ones that each hold many threads.
@@ -671,7 +727,7 @@
                         boundMetAt = now;
                         break;
                     }
-                    int at = choose(q);
+                    int at = choose(q, edge);
                     if (at >= 0) {
                         unusedThreads -= over ? cost : 0;
                         unusedMemory -= q.needMb > memoryRoom ? q.needMb * expected(q) : 0;
@@ -712,8 +768,20 @@
             return lines;
         }
 
+        /**
+         * Where a front has little out, most engines tie at none of its threads, and it would meet each once
+         * in many seconds: an engine that drowns takes one more from every front before all know. Of equals
+         * a small circle comes first, drawn anew by each front; the barred stay in it, lest others follow.
+         */
+        private double circle() {
+            double[] ranks = fleet.stream().filter(e -> up[e.at]).mapToDouble(e -> e.rank).sorted().toArray();
+            int size = Math.max(CIRCLE, CIRCLE_A_BUSY_ONE
+                    * (int) IntStream.range(0, fleet.size()).filter(k -> up[k] && ownQueries[k] > 0).count());
+            return size < ranks.length ? ranks[size] : 1;
+        }
+
         /** The engine with fewest own threads for each core of those that can take the query, or -1. */
-        private int choose(Query q) {
+        private int choose(Query q, double edge) {
             int best = -1;
             crowded = false;
             double least = Double.MAX_VALUE;
@@ -732,6 +800,7 @@
                 // Engines too slow for its target come after all others, and the one that failed it last.
                 boolean late = now + q.work / q.threads * Math.exp(pace[k]) > q.target;
                 double load = ownThreads[k] / worth(k) + 1e-6 * chance.nextDouble()
+                        + (fleet.get(k).rank >= edge ? 1e-5 : 0)
                         + (k == q.avoid ? 2 * COMES_LAST : late ? COMES_LAST : 0);
                 if (load < least && !barred[k]) {
                     least = load;
@@ -789,7 +858,6 @@
                 furtherAt.add(now);
             }
             q.outAt = at;
-            groupThreads[q.group] += q.threads;
             q.sentTo = at;
             q.sentAt = now;
             q.cancelled = false;
@@ -803,10 +871,8 @@
             post(purses[q.tenant], purse -> purse.charge(q.work, first));
         }
 
-
         private void back(Query q, Event.Closed closed) {
             q.outAt = -1;
-            groupThreads[q.group] -= q.lost ? 0 : q.threads;
             Outcome outcome = closed.outcome();
             if (!outcome.neverRan() && q.ranAt < 0) {
                 q.ranAt = q.sentTo;
@@ -843,7 +909,9 @@
                 estimateError[q.group] += 0.02 * Math.max(-2, Math.min(2, Math.log(work / q.work)));
             }
             answers++;
-            felt(ran - closed.unseen() * q.threads, ran, work, Math.max(0.05, 1.0 / answers));
+            if (!barred[q.sentTo]) {
+                felt(ran - closed.unseen() * q.threads, ran, work, Math.max(0.05, 1.0 / answers));
+            }
             boolean first = answers < 40 && (answers < 10 || now - bornAt < FIRST_ANSWERS);
             if (first || now - boundMetAt > SECOND && threadsOut() < CALM * bound() / factor) {
                 // A busy front has only its first answers to go by; later ones can show an overload.
@@ -899,8 +967,10 @@
             // Answers tell of an overload only once it has passed; notes of runs tell while it lasts.
             double share = note.share();
             long since = now - q.notedAt;
-            felt((since - note.unseen()) * q.threads, (since + q.notedUnseen) * q.threads,
-                    (share - q.share) * q.work, 0.05);
+            if (!barred[q.outAt]) {
+                felt((since - note.unseen()) * q.threads, (since + q.notedUnseen) * q.threads,
+                        (share - q.share) * q.work, 0.05);
+            }
             q.share = share;
             q.notedAt = now;
             q.notedUnseen = note.unseen();
@@ -921,7 +991,11 @@
 
         /** Far past its time and without a note: its answer may be lost, or its engine silent. */
         private boolean stuck(Query q) {
-            return now - q.sentAt > 4 * expected(q) + 300 * MS && now - q.notedAt > house.noteEvery() * 1.3;
+            return crawls(q) && now - q.notedAt > house.noteEvery() * 1.3;
+        }
+
+        private boolean crawls(Query q) {
+            return q.outAt >= 0 && now - q.sentAt > 4 * expected(q) + GRACE;
         }
 
         private void cancel(Query q) {
@@ -931,13 +1005,19 @@
             }
         }
 
-        /** The final answer for a query that has nothing out. */
-        private void giveUp(Query q) {
+        /** Whether a client may try the query again. */
+        private boolean safe(Query q, boolean ran) {
             Deployment.ResourceGroup group = house.groups().get(q.group);
-            boolean safe = group.effect() == Effect.READ_ONLY || q.ranAt < 0
+            return !ran || group.effect() == Effect.READ_ONLY
                     || group.effect() == Effect.TOKENED && group.recognised() == Recognised.ALL;
-            long comeBack = house.allowed().comeBack() ? house.allowed().longestComeBack() : 0;
-            out.accept(safe ? new Action.Defer(q.id, comeBack) : new Action.Kill(q.id));
+        }
+
+        /** The final answer for a query that has nothing out. */
+        private void giveUp(Query q) {
+            // Where it was an engine that failed it, and not room that lacks, it may come back at once.
+            long longest = house.allowed().comeBack() ? house.allowed().longestComeBack() : 0;
+            long comeBack = q.outAt >= 0 ? Math.min(PULSE, longest) : longest;
+            out.accept(safe(q, q.ranAt >= 0) ? new Action.Defer(q.id, comeBack) : new Action.Kill(q.id));
             over(q);
         }
 
@@ -973,7 +1053,6 @@
             }
         }
 
-
         private void pulse() {
             out.accept(new Action.WakeMe(PULSE_TIMER, PULSE));
             if (askAgainAt >= 0 && now >= askAgainAt) {
@@ -986,11 +1065,12 @@
             usualFaults = median(faults);
             fleet.forEach(engine -> post(engine, Engine::look));
             sweep();
-            double most = UNUSED_KEPT * Arrays.stream(usualWork).max().orElse(0)
-                    * Math.exp(Math.max(0, stretch));
+            double most = Arrays.stream(usualWork).max().orElse(0) * Math.exp(Math.max(0, stretch));
             double perCore = overOpen(k -> memoryMb[k]) / Math.max(1, overOpen(k -> cores[k]));
-            unusedThreads = Math.min(most, unusedThreads + PULSE * Math.max(0, bound() - threadsOut()));
-            unusedMemory = Math.min(most * perCore, unusedMemory + PULSE * Math.max(0, memoryRoom));
+            unusedThreads = Math.min(UNUSED_KEPT * most,
+                    unusedThreads + PULSE * Math.max(0, bound() - threadsOut()));
+            unusedMemory = Math.min(UNUSED_MEMORY_KEPT * most * perCore,
+                    unusedMemory + PULSE * Math.max(0, memoryRoom));
             post(this, Desk::release);
         }
 
@@ -1001,9 +1081,17 @@
                     && queries.values().stream().allMatch(q -> q.outAt >= 0 || q.late);
             List<Query> held = new ArrayList<>();
             double backlog = 0;
+            int crawling = (int) queries.values().stream().filter(this::crawls).mapToInt(q -> q.outAt)
+                    .distinct().count();
             for (Query q : new ArrayList<>(queries.values())) {
                 if (q.outAt >= 0) {
-                    if (now >= q.overdueAt && !q.answered) {
+                    if (crawls(q) && !house.allowed().cancel()) {
+                        post(fleet.get(q.outAt), engine -> engine.crawls(q, crawling));
+                        if (barred[q.outAt] && !q.answered && safe(q, true)) {
+                            giveUp(q); // can't be taken back, but its client can still be in time
+                        }
+                    }
+                    if (now >= q.overdueAt && !q.answered && !barred[q.outAt]) {
                         // For runs too short for notes. Only once: an answer that is lost is no load.
                         q.overdueAt = Long.MAX_VALUE;
                         felt((now - q.sentAt) * q.threads, (now - q.sentAt) * q.threads, q.work, 0.05);
@@ -1014,7 +1102,6 @@
                         // Its notes have stopped: the work is over and its answer lost, or its engine stands
                         // still, which a bar answers. Held until its time-out it would shut the gate.
                         q.lost = true;
-                        groupThreads[q.group] -= q.threads;
                         post(fleet.get(q.outAt), engine -> engine.free(q));
                     }
                 } else if (now >= q.leavesAt - LAST_CALL || (q.late = now + expected(q) > q.target)
--- a/src/test/java/reedspring/ControlTest.java
+++ b/src/test/java/reedspring/ControlTest.java
@@ -130,7 +130,7 @@
     /** Where engines page, a large query that finds no memory must not hold up smaller ones of its tenant. */
     @Example
     void aQueryThatNeedsLessMemoryPassesOneThatFindsNone() {
-        House house = calm(1, plain());
+        House house = calm(1, House.deployment(true, false, null, House.SHORT, House.LONG));
         house.take(1, 0, 500_000, 50 * SECOND, null);
         Held large = house.take(1, 0, 400_000, 50 * SECOND, null);
         Held small = house.take(1, 0, 10_000, 50 * SECOND, null);
@@ -143,7 +143,7 @@
     /** Others' memory on an engine is as much as this front's on average, not always their whole part. */
     @Example
     void anEngineTakesMoreThanOnePartOfItsMemoryWhileTheFleetHasRoom() {
-        House house = calm(2, plain());
+        House house = calm(2, House.deployment(true, false, null, House.SHORT, House.LONG));
         house.take(1, 0, 500_000, 50 * SECOND, null);
         house.take(1, 0, 500_000, 50 * SECOND, null);
         assertEquals(2, house.submits.stream().map(Action.Submit::engine).distinct().count());
