Few fronts leave less room for chance in memory than many

Checked: with five engines or fewer the circle is all of them, and no engine was barred for crawling there; what is left is the room for chance, 1.3 deviations at three fronts.

Cause: the room was taken by (1 - share) of two deviations (Control.memoryPart). A front among few meets every engine with its own queries, and its guard by engine already reckons from those what the others hold.

Change: by its square.

--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -677,7 +677,7 @@
             }
             double size = needs <= 0 ? 0 : needsSquared / needs * overOpen(k -> 1)
                     / Math.max(1, overOpen(k -> memoryMb[k]));
-            double scatter = (1 - share()) * SCATTER;
+            double scatter = SCATTER * (1 - share()) * (1 - share());
             double root = (Math.sqrt(scatter * scatter * size + 4) - scatter * Math.sqrt(size)) / 2;
             return Math.min(MEMORY_PART, root * root);
         }
