A front under test gets a port that the kernel hands to nobody else

Seen: one of five runs of theLimitsHoldUnderAFlood ended with "listen: Address already in use". Cause: Program.freeAddress took any free port and let it go; the stand-ins that start before the front listen on any port, too, and can get the same.

Change: ports below those that the kernel hands out, one after another. PagedFleet names what is over by its id.

--- a/src/main/java/reedspring/net/Limits.java
+++ b/src/main/java/reedspring/net/Limits.java
@@ -90,7 +90,7 @@
 
     Limits(Boot boot, int sockets, long memoryMb) throws BootException {
         // A twelfth of the memory. Buffers have a quarter and grow by doubling: a tenth, doubled, left too
-        // little for reads and what lies between, and one flood in five met the end of direct memory.
+        // little for reads and what lies between, and four floods in eight met the end of direct memory.
         heldBytes = (memoryMb << 20) / 12;
         clientConnections = sockets / 2;
         engineConnections = Math.max(1, Math.min(8, sockets / 64));
--- a/src/rig/java/reedspring/rig/PagedFleet.java
+++ b/src/rig/java/reedspring/rig/PagedFleet.java
@@ -72,7 +72,7 @@
         private final Map<Id.Query, Integer> submissions = new HashMap<>();
         private final Map<Id.Query, Run> out = new HashMap<>();
         private final Set<Id.Query> answered = new HashSet<>();
-        private final List<Action> due = new ArrayList<>();
+        private final List<Id.Query> over = new ArrayList<>();
         private final PriorityQueue<long[]> timers =
                 new PriorityQueue<>((a, b) -> Long.compare(a[0], b[0]));
         private final Control control;
@@ -126,7 +126,7 @@
 
         private void forget(Id.Query id) {
             if (answered.contains(id) && !out.containsKey(id)) {
-                due.add(new Action.Cancel(id, new Id.Submission(0)));
+                over.add(id);
             }
         }
 
@@ -165,13 +165,12 @@
             }
             open.forEach((id, call) -> Rig.require(answered.contains(id)
                     || now <= leavesAt(call) + SECOND / 10, "no final answer in time"));
-            for (Action gone : due) {
-                Id.Query id = ((Action.Cancel) gone).query();
+            for (Id.Query id : over) {
                 open.remove(id);
                 submissions.remove(id);
                 answered.remove(id);
             }
-            due.clear();
+            over.clear();
         }
     }
 
--- a/src/rig/java/reedspring/rig/Program.java
+++ b/src/rig/java/reedspring/rig/Program.java
@@ -4,6 +4,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
@@ -12,9 +13,13 @@
 import java.nio.file.StandardCopyOption;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** The program, started as the platform starts it. */
 public final class Program implements Closeable {
+    private static final int FIRST_PORT = 20_000;
+    private static final int PORTS = 12_000;
+    private static final AtomicInteger next = new AtomicInteger((int) ProcessHandle.current().pid());
     public final Process process;
     public final List<String> log = new CopyOnWriteArrayList<>();
     public final String listen;
@@ -118,9 +123,16 @@
                 + "\"share\":1.0,\"quotaPerS\":100.0}],\"novelty\":[1,{\"a\":null}]}}";
     }
 
+    /** Not one that the kernel hands out: a stand-in that listens on any could get it before the front. */
     public static String freeAddress() throws IOException {
-        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return "127.0.0.1:" + probe.getLocalPort();
+        for (int tries = 0; tries < PORTS; tries++) {
+            int port = FIRST_PORT + Math.floorMod(next.getAndIncrement(), PORTS);
+            try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return "127.0.0.1:" + probe.getLocalPort();
+            } catch (BindException e) {
+                // taken; the next one
+            }
         }
+        throw new IOException("no free port from " + FIRST_PORT);
     }
 }
