Ties between engines go by worth, fresh reports and a circle sized by the number of fronts

Need: a hundred fronts before 40 to 80 engines see a tie nearly everywhere, and chance alone broke it: a slow, failing or small engine took as many first queries as any other, load reports were decoded and not heard, all deferrals named one time, trials of a barred engine and the circle's size knew nothing of the number of fronts.

Counted: 30 fronts left of 100, circles of 6 of 80 engines: one engine in ten in nobody's circle.

Change: reedspring.spread, a core without I/O, orders ties (an exponential race by worth, times what a report still says at its age), counts own threads in whole steps where sizes differ, draws the circle by rendezvous of seed and name and sizes it so that hardly an engine is left out with seven fronts in ten gone, paces trials by how many fronts know the engine, keeps cold engines' turns (moved from Control), and gives deferrals and pulses phases. Load reports reach it from both wires.

--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.IntToDoubleFunction;
 import java.util.stream.IntStream;
@@ -19,6 +18,7 @@
 import reedspring.api.Event;
 import reedspring.api.Event.Outcome;
 import reedspring.api.Id;
+import reedspring.spread.Spread;
 
 /**
  * All decisions of one front. Make one at the front's start, then hand each event to {@link #on} with the
@@ -76,18 +76,13 @@
     private static final long LONGEST_GHOST = 10 * SECOND;
 
     private static final double COMES_LAST = 1e6;
-    private static final int CIRCLE = 6;
-    private static final int CIRCLE_A_BUSY_ONE = 2;
-
-    // Of what would push a cold engine over: one part may stand filled while another flows in.
-    private static final double COLD_PART = 0.4;
 
     private static final long PULSE = 25 * MS;
     private static final long LAST_CALL = 60 * MS;
     private static final Id.Timer PULSE_TIMER = new Id.Timer(1);
 
     private final Deployment house;
-    private final SplittableRandom chance;
+    private final Spread spread;
     private final ArrayDeque<Part> turns = new ArrayDeque<>();
     private final Desk desk;
     private final List<Engine> fleet = new ArrayList<>();
@@ -112,7 +107,7 @@
 
     public Control(long seed, Deployment house, long now, Consumer<Action> out) {
         this.house = house;
-        this.chance = new SplittableRandom(seed);
+        this.spread = new Spread(seed, house, now);
         this.desk = new Desk();
         this.purses = new Purse[house.tenants().size() + 1];
         Arrays.setAll(purses, Purse::new);
@@ -122,7 +117,7 @@
         if (house.discovery().mustAsk()) {
             out.accept(new Action.FollowEngines());
         }
-        out.accept(new Action.WakeMe(PULSE_TIMER, PULSE));
+        out.accept(new Action.WakeMe(PULSE_TIMER, spread.first(PULSE)));
     }
 
     /** Takes one event at its time and emits what follows from it. */
@@ -141,6 +136,9 @@
             if (q != null && q.outAt >= 0 && q.submissions - 1 == share.submission().value()) {
                 post(fleet.get(q.outAt), engine -> engine.progress(q, share));
             }
+        } else if (event instanceof Event.LoadReported report) {
+            fleet.stream().filter(engine -> engine.id.equals(report.engine())).findAny()
+                    .ifPresent(engine -> post(engine, part -> spread.heard(part.at, report.load(), now)));
         } else {
             post(desk, part -> part.word(event));
         }
@@ -240,7 +238,6 @@
         private Id.Kind kind;
         private Id.Zone zone;
         private Id.Cell cell;
-        private final double rank = chance.nextDouble();
         private boolean gone;
         private long bar = FIRST_BAR;
         private long longestBar = LONGEST_BAR;
@@ -248,9 +245,6 @@
         private long heardAt;
         // When a run here last ended in about its time.
         private long wellAt = Long.MIN_VALUE;
-        // In queries of the lightest group.
-        private double credit;
-        private long creditAt;
         private final List<Ghost> ghosts = new ArrayList<>();
 
         Engine(Event.Listing listing, int at) {
@@ -282,6 +276,7 @@
                     : house.machines().values().stream().mapToDouble(Deployment.Machine::cores)
                             .filter(c -> c > 0).average().orElse(desk.mostThreads);
             memoryMb[at] = machine == null ? 0 : machine.memoryMb();
+            spread.listed(at, id, cores[at], up[at]);
             if (listing.startedAt() != startedAt[at] && up[at]) {
                 // A new process: what was held against the old one says nothing of it.
                 startedAt[at] = listing.startedAt();
@@ -290,8 +285,7 @@
                 barred[at] = false;
                 bar = FIRST_BAR;
                 longestBar = LONGEST_BAR;
-                credit = chance.nextDouble();
-                creditAt = now;
+                spread.renewed(at, now);
             }
         }
 
@@ -302,7 +296,7 @@
             ownThreads[at] += q.threads;
             ownMemory[at] += q.needMb;
             ownQueries[at]++;
-            credit -= desk.usualWork[q.group] / desk.lightest();
+            spread.sent(at, desk.usualWork[q.group] / desk.lightest());
             if (house.allowed().priorities()
                     && q.work / q.threads < house.groups().get(q.group).targetBase() / 2.0) {
                 out.accept(new Action.SetPriority(q.id, 2));
@@ -314,6 +308,7 @@
             heardAt = now;
             Outcome outcome = closed.outcome();
             ownQueries[at]--;
+            spread.ended(at, closed.took());
             if (outcome == Outcome.TIMED_OUT && !house.allowed().cancel() && !q.lost) {
                 double whole = q.work / q.threads * Math.exp(Double.isNaN(pace[at]) ? 0 : pace[at]);
                 long rest = (long) Math.min(LONGEST_GHOST, Math.max(whole - closed.took(), closed.took()));
@@ -343,7 +338,7 @@
                 out.accept(new Action.Remark("engine " + id.address() + " is back"));
             } else if (barred[at]) {
                 bar = bad || outcome == Outcome.TIMED_OUT ? Math.min(longestBar, bar * 2) : bar;
-                barredUntil = now + bar;
+                barredUntil = now + spread.rest(at, bar, desk.lightest());
             }
             post(desk, part -> part.back(q, closed));
         }
@@ -395,26 +390,10 @@
             long all = IntStream.range(0, fleet.size()).filter(k -> up[k]).count();
             if (overOpen(k -> 1) - 1 >= all * (1 - MOST_BARRED)) {
                 barred[at] = true;
-                barredUntil = now + bar;
+                barredUntil = now + spread.rest(at, bar, desk.lightest());
                 out.accept(new Action.Remark("engine " + id.address() + " " + why + ", barred"));
             }
         }
-
-        /** Whether a usual query of the group fits into this front's part of what a cold engine stands. The
-         * part fills over the window, from a start that chance sets: hundreds of fronts whose part is under
-         * one query take turns. A front that has just started can't know what it sent before, and sends
-         * nothing for a window. */
-        private boolean coldRoom(Query q) {
-            if (!cold(at) || now - bornAt < house.coldStart().window()) {
-                return !cold(at);
-            }
-            Deployment.ColdStart rule = house.coldStart();
-            double rate = COLD_PART * rule.multiple() * rule.from() * cores[at] / house.fronts()
-                    / desk.lightest();
-            credit = Math.min(credit + rate * (now - creditAt), Math.max(rate * rule.window(), 1));
-            creditAt = now;
-            return desk.usualWork[q.group] <= credit * desk.lightest();
-        }
     }
 
     private void grow(int size) {
@@ -538,6 +517,7 @@
         private long answers;
         private long boundMetAt;
         private long askAgainAt = -1;
+        private long toldAt;
         private double arrived;
         private long arrivedAt;
         private final double ratesTold;
@@ -696,7 +676,6 @@
             double ownPart = memoryPart * memoryPart() * overOpen(k -> memoryMb[k]);
             othersMemory = (1 / memoryPart - 1) * overOpen(k -> ownMemory[k])
                     / Math.max(1, overOpen(k -> memoryMb[k]));
-            double edge = circle();
             boolean mixed = Arrays.stream(waitingIn).filter(count -> count > 0).count() > 1;
             int[] groupThreads = new int[waitingIn.length];
             List<Query> running = queries.values().stream()
@@ -727,7 +706,7 @@
                         boundMetAt = now;
                         break;
                     }
-                    int at = choose(q, edge);
+                    int at = choose(q);
                     if (at >= 0) {
                         unusedThreads -= over ? cost : 0;
                         unusedMemory -= q.needMb > memoryRoom ? q.needMb * expected(q) : 0;
@@ -768,25 +747,14 @@
             return lines;
         }
 
-        /**
-         * Where a front has little out, most engines tie at none of its threads, and it would meet each once
-         * in many seconds: an engine that drowns takes one more from every front before all know. Of equals
-         * a small circle comes first, drawn anew by each front; the barred stay in it, lest others follow.
-         */
-        private double circle() {
-            double[] ranks = fleet.stream().filter(e -> up[e.at]).mapToDouble(e -> e.rank).sorted().toArray();
-            int size = Math.max(CIRCLE, CIRCLE_A_BUSY_ONE
-                    * (int) IntStream.range(0, fleet.size()).filter(k -> up[k] && ownQueries[k] > 0).count());
-            return size < ranks.length ? ranks[size] : 1;
-        }
-
         /** The engine with fewest own threads for each core of those that can take the query, or -1. */
-        private int choose(Query q, double edge) {
+        private int choose(Query q) {
             int best = -1;
             crowded = false;
             double least = Double.MAX_VALUE;
             for (int k = 0; k < fleet.size(); k++) {
-                if (!allowed(q, k) || !fleet.get(k).coldRoom(q)) {
+                if (!allowed(q, k) || cold(k)
+                        && !spread.coldRoom(k, usualWork[q.group] / lightest(), lightest(), now)) {
                     continue;
                 }
                 if (!barred[k] && !memoryFits(q, k)) {
@@ -799,8 +767,9 @@
                 }
                 // Engines too slow for its target come after all others, and the one that failed it last.
                 boolean late = now + q.work / q.threads * Math.exp(pace[k]) > q.target;
-                double load = ownThreads[k] / worth(k) + 1e-6 * chance.nextDouble()
-                        + (fleet.get(k).rank >= edge ? 1e-5 : 0)
+                double worth = worth(k);
+                double load = spread.steps(k, ownThreads[k]) / worth
+                        + 1e-6 * spread.turn(k, ownThreads[k], worth, now)
                         + (k == q.avoid ? 2 * COMES_LAST : late ? COMES_LAST : 0);
                 if (load < least && !barred[k]) {
                     least = load;
@@ -1016,7 +985,7 @@
         private void giveUp(Query q) {
             // Where it was an engine that failed it, and not room that lacks, it may come back at once.
             long longest = house.allowed().comeBack() ? house.allowed().longestComeBack() : 0;
-            long comeBack = q.outAt >= 0 ? Math.min(PULSE, longest) : longest;
+            long comeBack = q.outAt >= 0 ? Math.min(PULSE, longest) : spread.comeBack(longest);
             out.accept(safe(q, q.ranAt >= 0) ? new Action.Defer(q.id, comeBack) : new Action.Kill(q.id));
             over(q);
         }
@@ -1061,6 +1030,10 @@
             }
             lanes.values().removeIf(lane -> lane.turn.isEmpty() && now >= lane.restsUntil);
             lanes.values().forEach(this::call);
+            if (now - toldAt >= SECOND) {
+                toldAt = now;
+                spread.changes(Control.this::worth, now).forEach(line -> out.accept(new Action.Remark(line)));
+            }
             usualPace = median(pace);
             usualFaults = median(faults);
             fleet.forEach(engine -> post(engine, Engine::look));
--- a/src/main/java/reedspring/adapter/Adapter.java
+++ b/src/main/java/reedspring/adapter/Adapter.java
@@ -14,6 +14,7 @@
 import reedspring.api.Action;
 import reedspring.api.Event;
 import reedspring.api.Id;
+import reedspring.api.Load;
 import reedspring.boot.Boot;
 import reedspring.boot.BootException;
 import reedspring.boot.Times;
@@ -79,6 +80,10 @@
                     "CLOSED_ATTEMPT" -> {
                 int instance = (int) line.whole("i");
                 Front front = fronts.get(instance);
+                Event report = front == null ? null : report(front.boot, line);
+                if (report != null) {
+                    decide(instance, front, report);
+                }
                 Event event = front == null ? null : event(front.boot, line);
                 if (event != null) {
                     decide(instance, front, event);
@@ -214,6 +219,22 @@
                 : new Event.ShareDone(query(line), submission(line), line.number("amount"), 0);
     }
 
+    /** The load report that came with it, or null. Values come in the settings' order of columns. */
+    private static Event report(Boot boot, Line line) throws WireException {
+        String gauge = line.find("gauge");
+        String engine = line.find("engine");
+        if (gauge == null || engine == null) {
+            return null;
+        }
+        Load load = Load.UNKNOWN;
+        String[] values = gauge.split(",");
+        List<String> columns = boot.reportColumns();
+        for (int k = 0; k < Math.min(values.length, columns.size()); k++) {
+            load = load.with(columns.get(k), line.number("gauge", values[k]));
+        }
+        return new Event.LoadReported(new Id.Engine(engine), load);
+    }
+
     private static Event closed(Line line) throws WireException {
         String how = line.text("how");
         Event.Outcome outcome = switch (how) {
--- a/src/main/java/reedspring/api/Event.java
+++ b/src/main/java/reedspring/api/Event.java
@@ -45,6 +45,10 @@
                   long unseen, long work) implements Event {
     }
 
+    /** Of an engine, as it came with an answer; late, noisy and perhaps wrong. */
+    record LoadReported(Id.Engine engine, Load load) implements Event {
+    }
+
     record Woken(Id.Timer timer) implements Event {
     }
 
--- a/src/main/java/reedspring/boot/Boot.java
+++ b/src/main/java/reedspring/boot/Boot.java
@@ -124,6 +124,11 @@
         return longest;
     }
 
+    /** What the values of a load report are, in their order; empty where there are none. */
+    public List<String> reportColumns() {
+        return List.of(list("report.columns"));
+    }
+
     /** A figure of the deployment that only a protocol needs. */
     public double number(String key, double otherwise) throws BootException {
         String value = pairs.get(key);
--- a/src/main/java/reedspring/net/EngineConnection.java
+++ b/src/main/java/reedspring/net/EngineConnection.java
@@ -269,6 +269,9 @@
             askedAt = -1;
             Submission s = open.get(answer.id());
             boolean late = spent.contains(answer.id());
+            if (answer.fields().get("rep") != null) {
+                front.reported(engine, answer.fields().get("rep"));
+            }
             if (s == null && LAST_WORDS.contains(answer.word()) && running.remove(answer.id())) {
                 spent.remove(answer.id());
             }
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -17,6 +17,7 @@
 import reedspring.api.Event;
 import reedspring.api.Event.Outcome;
 import reedspring.api.Id;
+import reedspring.api.Load;
 import reedspring.boot.Boot;
 import reedspring.boot.Times;
 
@@ -475,6 +476,25 @@
         on(new Event.ShareDone(s.query.id, s.number, share, clock.now() - timers.earliestArrival()));
     }
 
+    /**
+     * A load report of an engine, as in {@code inflight:7;util:0.61}; what can't be read of it is left out.
+     */
+    void reported(String engine, String report) {
+        Load load = Load.UNKNOWN;
+        for (String part : report.split(";", limits.reportFields + 1)) {
+            int colon = part.indexOf(':');
+            String value = part.substring(colon + 1);
+            if (colon > 0 && FIGURE.matcher(value).matches()) {
+                try {
+                    load = load.with(part.substring(0, colon), Double.parseDouble(value));
+                } catch (NumberFormatException e) {
+                    // what the pattern lets through and is no number all the same
+                }
+            }
+        }
+        on(new Event.LoadReported(new Id.Engine(engine), load));
+    }
+
     // ---- time
 
     private void tick() {
--- a/src/main/java/reedspring/net/Limits.java
+++ b/src/main/java/reedspring/net/Limits.java
@@ -49,6 +49,7 @@
     final int pageBytes = 6_000;
     final int headBytes = 4_096;
     final int pages = 64;
+    final int reportFields = 16;
     final int engineConnections;
     final int allEngineConnections;
     final int connectionQueries;
--- a/src/main/java/reedspring/settings/Ini.java
+++ b/src/main/java/reedspring/settings/Ini.java
@@ -21,7 +21,7 @@
  * An INI file that is read by what is asked of it: each key has a kind and a range, what was never asked for
  * is a fault, and all faults are told together, by line, section and key. Values are decoded once, here.
  */
-final class Ini {
+public final class Ini {
     private static final Pattern SIZE = Pattern.compile("([0-9]{1,15})\\s*(B|kB|MB|GB|TB)?");
     private static final Pattern SPAN = Pattern.compile("([0-9]{1,12})\\s*(ms|s|min|h|d)");
     private static final Pattern PART = Pattern.compile("([0-9]{1,3}(?:\\.[0-9]{1,3})?)\\s*%");
@@ -33,7 +33,7 @@
     private final Set<String> sections = new HashSet<>();
     private final List<String> faults = new ArrayList<>();
 
-    Ini(Path path) throws SettingsException {
+    public Ini(Path path) throws SettingsException {
         name = path.getFileName().toString();
         file = new INIConfiguration();
         try {
@@ -48,13 +48,23 @@
     }
 
     /** Whether there is such a section; without it nothing of it is switched on. */
-    boolean has(String section) {
+    public boolean has(String section) {
         sections.add(section);
         return file.getSections().contains(section);
     }
 
+    /** All sections, in the order of the file. */
+    public List<String> sections() {
+        return file.getSections().stream().filter(section -> section != null).toList();
+    }
+
+    /** Any text without a comma, or {@code otherwise}. */
+    public String any(String section, String key, String otherwise) {
+        return text(section, key, otherwise);
+    }
+
     /** Bytes: {@code 64MB}, by powers of 1024. */
-    long size(String section, String key, long otherwise, long least, long most) {
+    public long size(String section, String key, long otherwise, long least, long most) {
         return number(section, key, otherwise, least, most, text -> {
             Matcher m = SIZE.matcher(text);
             if (!m.matches()) {
@@ -67,7 +77,7 @@
     }
 
     /** Tenths of a millisecond: {@code 30s}. */
-    long span(String section, String key, long otherwise, long least, long most) {
+    public long span(String section, String key, long otherwise, long least, long most) {
         return number(section, key, otherwise, least, most, text -> {
             Matcher m = SPAN.matcher(text);
             return !m.matches() ? null : (Long) (Long.parseLong(m.group(1)) * switch (m.group(2)) {
@@ -80,13 +90,13 @@
         }, "a time such as 30s");
     }
 
-    long count(String section, String key, long otherwise, long least, long most) {
+    public long count(String section, String key, long otherwise, long least, long most) {
         return number(section, key, otherwise, least, most,
                 text -> text.matches("[0-9]{1,15}") ? (Long) Long.parseLong(text) : null, "a whole number");
     }
 
     /** From 0 to 1: {@code 25%}. */
-    double part(String section, String key, double otherwise) {
+    public double part(String section, String key, double otherwise) {
         String text = text(section, key, null);
         if (text == null) {
             return otherwise;
@@ -117,7 +127,7 @@
     }
 
     /** One of these words. */
-    String word(String section, String key, String otherwise, List<String> words) {
+    public String word(String section, String key, String otherwise, List<String> words) {
         String text = text(section, key, otherwise);
         if (text != null && !words.contains(text)) {
             fault(section, key, "'" + text + "' is none of " + String.join(", ", words));
@@ -127,7 +137,7 @@
     }
 
     /** A file or folder; a relative name counts from where the front was started. Null if it is not given. */
-    Path path(String section, String key, boolean wanted) {
+    public Path path(String section, String key, boolean wanted) {
         String text = text(section, key, null);
         if (text == null && wanted) {
             fault(section, key, "missing");
@@ -156,7 +166,7 @@
         return text;
     }
 
-    void fault(String section, String key, String what) {
+    public void fault(String section, String key, String what) {
         faults.add(name + " line " + line(section, key) + ": [" + section + "] " + key + ": " + what);
     }
 
@@ -177,7 +187,7 @@
     }
 
     /** To be called last: throws all faults, with what nobody asked for among them. */
-    void end() throws SettingsException {
+    public void end() throws SettingsException {
         for (String section : file.getSections()) {
             if (section == null) {
                 file.getKeys().forEachRemaining(key -> {
