The fleet rig: many processes of the program, a relay in every link, faults from a timetable

Change: rig.fleet. A timetable is one INI file: what the fleet is and what happens when to whom (links refused, cut one way or both, half open, reset, delayed, throttled; fronts killed, stopped, leaving; engines failing at once, slow, silent, lying, frozen, mute, replaced; late lists; bursts). Rules checks from outside what clients and engines saw.

--- a/src/rig/java/reedspring/rig/Client.java
+++ b/src/rig/java/reedspring/rig/Client.java
@@ -23,6 +23,7 @@
 
 /** A client that speaks MessagePack-RPC, written apart from the front's own codec. */
 public final class Client implements Closeable {
+    private static final int CONNECT_MS = 2_000;
     public final Socket socket;
     private final DataInputStream in;
     private static final AtomicLong TRACES = new AtomicLong(0x1234_5678_9abc_def0L);
@@ -31,13 +32,23 @@
         this(port, Integer.MAX_VALUE);
     }
 
+    /** To an address with its port. */
+    public Client(String address) throws IOException {
+        this(new InetSocketAddress(address.substring(0, address.indexOf(':')),
+                Integer.parseInt(address.substring(address.indexOf(':') + 1))), Integer.MAX_VALUE);
+    }
+
     /** Takes no more than so many bytes a second, and its kernel little more. */
     public Client(int port, int bytesPerSecond) throws IOException {
+        this(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), bytesPerSecond);
+    }
+
+    private Client(InetSocketAddress to, int bytesPerSecond) throws IOException {
         socket = new Socket();
         if (bytesPerSecond < Integer.MAX_VALUE) {
             socket.setReceiveBufferSize(2048);
         }
-        socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+        socket.connect(to, CONNECT_MS);
         socket.setTcpNoDelay(true);
         socket.setSoTimeout((int) Rig.PATIENCE_S * 1000);
         in = new DataInputStream(bytesPerSecond < Integer.MAX_VALUE
--- a/src/rig/java/reedspring/rig/EngineStandIn.java
+++ b/src/rig/java/reedspring/rig/EngineStandIn.java
@@ -6,8 +6,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 
 /** A query engine that does with each command what the test says. */
@@ -45,15 +45,29 @@
     }
 
     private final Consumer<Command> work;
-    public final List<Command> seen = new CopyOnWriteArrayList<>();
+    private final Consumer<Socket> gone;
+    public final List<Command> seen = Collections.synchronizedList(new ArrayList<>());
 
     public EngineStandIn(Consumer<Command> work) throws IOException {
         this(0, work);
     }
 
     public EngineStandIn(int port, Consumer<Command> work) throws IOException {
+        this(port, work, peer -> { });
+    }
+
+    /** {@code gone} is told of each connection that the other side has ended. */
+    public EngineStandIn(int port, Consumer<Command> work, Consumer<Socket> gone) throws IOException {
         super(port);
         this.work = work;
+        this.gone = gone;
+    }
+
+    @Override
+    void ended(Socket peer) {
+        if (gone != null) {
+            gone.accept(peer);
+        }
     }
 
     public int port() {
@@ -61,7 +75,9 @@
     }
 
     public List<Command> seen(String word) {
-        return seen.stream().filter(command -> command.word().equals(word)).toList();
+        synchronized (seen) {
+            return seen.stream().filter(command -> command.word().equals(word)).toList();
+        }
     }
 
     /** Ends each query at once with that many pages, each naming its number and the query. */
--- a/src/rig/java/reedspring/rig/JournalStandIn.java
+++ b/src/rig/java/reedspring/rig/JournalStandIn.java
@@ -12,6 +12,8 @@
 /** The journal service: notes from where it was called, and sends what the test says. */
 public final class JournalStandIn extends Server {
     public final List<String> calledFrom = new CopyOnWriteArrayList<>();
+    /** When it was called, in nanoseconds of the steady clock. */
+    public final List<Long> calledAt = new CopyOnWriteArrayList<>();
     private final List<String> told = new ArrayList<>();
 
     public JournalStandIn() throws IOException {
@@ -30,6 +32,7 @@
                 .getBytes(StandardCharsets.US_ASCII));
         synchronized (told) {
             calledFrom.add(from);
+            calledAt.add(System.nanoTime());
             for (int pos = from.isEmpty() ? 0 : Integer.parseInt(from); pos < told.size(); pos++) {
                 peer.getOutputStream().write(told.get(pos).getBytes(StandardCharsets.UTF_8));
             }
@@ -45,6 +48,13 @@
         }
     }
 
+    /** The number of the last event. */
+    public int position() {
+        synchronized (told) {
+            return told.size();
+        }
+    }
+
     /** A sign of life, if anybody listens. */
     public void comment() {
         synchronized (told) {
@@ -79,7 +89,14 @@
     }
 
     public static String host(String name, String address, String health) {
-        return "{\"host\":\"" + name + "\",\"dial\":\"" + address + "\",\"site\":\"a\",\"class\":\"m\","
-                + "\"block\":0,\"health\":\"" + health + "\",\"share\":1,\"born_ms\":0,\"colour\":3}";
+        return host(name, address, "a", "m", health, 0);
+    }
+
+    public static String host(String name, String address, String site, String kind, String health,
+            long bornMs) {
+        return "{\"host\":\"" + name + "\",\"dial\":\"" + address + "\",\"site\":\"" + site
+                + "\",\"class\":\""
+                + kind + "\",\"block\":0,\"health\":\"" + health + "\",\"share\":1,\"born_ms\":" + bornMs
+                + ",\"colour\":3}";
     }
 }
--- a/src/rig/java/reedspring/rig/Server.java
+++ b/src/rig/java/reedspring/rig/Server.java
@@ -14,12 +14,19 @@
     public final List<Socket> accepted = new CopyOnWriteArrayList<>();
     /** Those that the other side has ended. */
     public final List<Socket> left = new CopyOnWriteArrayList<>();
+    /** Connections past this are closed as they come. */
+    public volatile int mostConnections = Integer.MAX_VALUE;
 
     Server(int port) throws IOException {
         socket = new ServerSocket(port, 64, InetAddress.getLoopbackAddress());
         background(() -> {
             while (true) {
                 Socket next = socket.accept();
+                if (accepted.size() - left.size() >= mostConnections) {
+                    next.setSoLinger(true, 0);
+                    next.close();
+                    continue;
+                }
                 next.setTcpNoDelay(true);
                 accepted.add(next);
                 background(() -> {
@@ -27,6 +34,7 @@
                         serve(next);
                     } catch (IOException e) {
                         left.add(next);
+                        ended(next);
                     }
                 });
             }
@@ -51,6 +59,10 @@
 
     abstract void serve(Socket peer) throws IOException;
 
+    /** The other side has ended it. */
+    void ended(Socket peer) {
+    }
+
     public String address() {
         return "127.0.0.1:" + socket.getLocalPort();
     }
--- /dev/null
+++ b/src/rig/java/reedspring/rig/fleet/EngineHost.java
@@ -0,0 +1,210 @@
+package reedspring.rig.fleet;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import reedspring.api.Load;
+import reedspring.rig.EngineStandIn;
+
+/**
+ * A stand-in for one engine's process on sockets: its protocol is {@link EngineStandIn}'s, its inside a
+ * {@link Machine}. A statement says what it costs. All that fronts sent it is kept with its times, for the
+ * rules.
+ */
+final class EngineHost implements Closeable {
+    private static final Pattern COSTS = Pattern.compile("work=([0-9.]+) need=([0-9.]+) threads=([0-9]+)");
+    private static final int CONNECTIONS = 400;
+
+    /** One submission as it reached the engine. Times in nanoseconds; {@code endedAt} 0 while it is out. */
+    static final class Attempt {
+        final String trace;
+        final int front;
+        final String engine;
+        final long at;
+        final double work;
+        volatile long endedAt;
+        volatile String end = "out";
+        private final EngineStandIn.Command command;
+
+        private Attempt(EngineStandIn.Command command, int front, String engine, double work) {
+            this.trace = command.id();
+            this.front = front;
+            this.engine = engine;
+            this.at = command.at();
+            this.work = work;
+            this.command = command;
+        }
+
+        private void ends(String how) {
+            if (endedAt == 0) {
+                end = how;
+                endedAt = System.nanoTime();
+            }
+        }
+    }
+
+    final String name;
+    final int at;
+    final long bornMs;
+    private final EngineStandIn server;
+    private final Machine machine;
+    private final List<Attempt> attempts = new ArrayList<>();
+    private boolean fails;
+    private boolean silent;
+    private Load stuck;
+    private boolean lies;
+    private boolean mute;
+    private double threadTime;
+    private double idleTime;
+    private long nextNote;
+
+    /** {@code bornMs} 0: it started long ago and is warm. */
+    EngineHost(Timetable table, int at, String name, long bornMs) throws IOException {
+        this.name = name;
+        this.at = at;
+        this.bornMs = bornMs;
+        this.machine = new Machine(table.cores(at), table.memoryMb(), table.sessions(), now(),
+                Terms.COLD_FROM,
+                bornMs == 0 ? 0 : Terms.RAMP_MS * 10L);
+        this.server = new EngineStandIn(0, this::command, this::gone);
+        server.mostConnections = CONNECTIONS;
+    }
+
+    private static long now() {
+        return System.nanoTime() / 100_000;
+    }
+
+    InetSocketAddress address() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), server.port());
+    }
+
+    private synchronized void command(EngineStandIn.Command command) {
+        if (command.word().equals("alive")) {
+            if (!silent) {
+                command.answer("well", "-", "");
+            }
+            return;
+        }
+        Matcher costs = command.word().equals("fetch") ? COSTS.matcher(command.words().get(3)) : null;
+        if (costs == null || !costs.find()) {
+            return;
+        }
+        double work = 10 * Double.parseDouble(costs.group(1));
+        // The relay calls from an address for each front.
+        int front = command.from().getInetAddress().getAddress()[3] - 1 & 0xff;
+        Attempt attempt = new Attempt(command, front, name, work);
+        attempts.add(attempt);
+        if (fails) {
+            answer(attempt, "failed", "-", "");
+        } else if (machine.take(attempt, work, Double.parseDouble(costs.group(2)),
+                Integer.parseInt(costs.group(3)), now()) == null) {
+            answer(attempt, "full", report(), "");
+        }
+    }
+
+    private void answer(Attempt attempt, String word, String fields, String body) {
+        attempt.ends(word);
+        if (!silent) {
+            attempt.command.answer(word, fields, body);
+        }
+    }
+
+    /** Closing a connection gives up what is out on it; what runs goes on. */
+    private synchronized void gone(Socket peer) {
+        attempts.stream().filter(a -> a.endedAt == 0 && a.command.from() == peer).forEach(a -> a
+                .ends("given up"));
+    }
+
+    /** Lets so many tenths of a millisecond pass. */
+    synchronized void step(long span) {
+        long now = now();
+        threadTime += (double) machine.threads() * span;
+        idleTime += machine.threads() == 0 ? span : 0;
+        for (Machine.Run run : machine.step(now, span)) {
+            Attempt attempt = (Attempt) run.of;
+            if (attempt.endedAt == 0) {
+                String report = report();
+                answer(attempt, "data", String.format(Locale.ROOT, "sheets=1,toil=%.1f,room=%.0f%s", run.work
+                        / 10,
+                        run.needMb, report.equals("-") ? "" : "," + report), attempt.trace + "\t" + name
+                                + "\trow\n");
+            }
+        }
+        if (now >= nextNote) {
+            nextNote = now + Terms.NOTE_MS * 10L / 4;
+            for (Machine.Run run : machine.runs()) {
+                Attempt attempt = (Attempt) run.of;
+                long quarter = (now - run.since) / (Terms.NOTE_MS * 10L / 4);
+                if (attempt.endedAt == 0 && !silent && quarter % 4 == 0 && quarter > 0) {
+                    attempt.command.answer("news", String.format(Locale.ROOT, "why=done,val=%.3f", run
+                            .share()), "");
+                }
+            }
+        }
+    }
+
+    private String report() {
+        if (mute) {
+            return "-";
+        }
+        Load load = lies ? new Load(0, 0, Double.NaN, 0, 0) : stuck != null ? stuck : machine.load();
+        return String.format(Locale.ROOT, "rep=util:%.2f;x0:%.2f;queue:%.0f", load.cores(), load.memory(),
+                load.waiting());
+    }
+
+    synchronized void fails(boolean on) {
+        fails = on;
+    }
+
+    synchronized void slower(double times) {
+        machine.slower(times);
+    }
+
+    synchronized void silent(boolean on) {
+        silent = on;
+    }
+
+    synchronized void lies(boolean on) {
+        lies = on;
+    }
+
+    synchronized void stuck(boolean on) {
+        stuck = on ? machine.load() : null;
+    }
+
+    synchronized void mute(boolean on) {
+        mute = on;
+    }
+
+    /** The process dies: connections are reset, and all that ran is lost. */
+    synchronized void dies() throws IOException {
+        machine.dies();
+        attempts.stream().filter(a -> a.endedAt == 0).forEach(a -> a.ends("died"));
+        server.close();
+    }
+
+    synchronized List<Attempt> attempts() {
+        return List.copyOf(attempts);
+    }
+
+    /** Threads a core, summed over tenths of a millisecond. */
+    synchronized double threadTime() {
+        return threadTime / machine.cores();
+    }
+
+    synchronized double capacity() {
+        return machine.capacity(now());
+    }
+
+    @Override
+    public void close() throws IOException {
+        dies();
+    }
+}
--- /dev/null
+++ b/src/rig/java/reedspring/rig/fleet/Fleets.java
@@ -0,0 +1,91 @@
+package reedspring.rig.fleet;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Stream;
+import reedspring.settings.SettingsException;
+
+/** {@code [--seed N] [--short] [FILE ...]}: each timetable on processes and in virtual time; bench/fleet. */
+public final class Fleets {
+    private static final int USAGE = 64;
+    private static final int UNUSABLE = 78;
+    /** Fronts and engines in virtual time, with the load grown as the engines are. */
+    private static final int[][] SIZES = {{1, 6}, {3, 6}, {12, 12}, {100, 40}, {200, 80}};
+
+    private Fleets() {
+    }
+
+    public static void main(String[] args) throws IOException {
+        long seed = 1;
+        boolean shortly = false;
+        List<Path> files = new ArrayList<>();
+        for (int k = 0; k < args.length; k++) {
+            if (args[k].equals("--short")) {
+                shortly = true;
+            } else if (args[k].equals("--seed") && k + 1 < args.length && args[k + 1]
+                    .matches("[0-9]{1,18}")) {
+                seed = Long.parseLong(args[++k]);
+            } else if (!args[k].startsWith("-")) {
+                files.add(Path.of(args[k]));
+            } else {
+                System.err.println("usage: bench/fleet [--seed N] [--short] [FILE ...]");
+                System.exit(USAGE);
+            }
+        }
+        if (files.isEmpty()) {
+            try (Stream<Path> all = Files.list(Path.of("bench/timetables"))) {
+                all.filter(file -> file.toString().endsWith(".ini")).sorted().forEach(files::add);
+            }
+        }
+        System.exit(play(files, seed, shortly));
+    }
+
+    private static int play(List<Path> files, long seed, boolean shortly) {
+        int broken = 0;
+        int runs = 0;
+        for (Path file : files) {
+            try {
+                Timetable table = Timetable.read(file);
+                for (int[] size : SIZES) {
+                    if (!shortly || size[0] <= 100) {
+                        runs++;
+                        broken += guarded(table + " virtual " + size[0] + "x" + size[1],
+                                () -> figures(new VirtualFleet(table.sized(size[0], size[1]), seed).play()));
+                    }
+                }
+                runs++;
+                broken += guarded(table + " processes", () -> Fleet.play(file, seed).toString());
+            } catch (SettingsException e) {
+                System.err.println(e.getMessage());
+                return UNUSABLE;
+            }
+        }
+        System.out.println("runs=" + runs + " broken=" + broken + " seed=" + seed);
+        return broken == 0 ? 0 : 1;
+    }
+
+    private interface Run {
+        String play() throws Exception;
+    }
+
+    private static int guarded(String name, Run run) {
+        try {
+            System.err.println(name + ": " + run.play());
+            return 0;
+        } catch (Exception | AssertionError e) {
+            System.err.println(name + ": BROKEN " + e.getMessage());
+            return 1;
+        }
+    }
+
+    private static String figures(VirtualFleet fleet) {
+        return String.format(Locale.ROOT,
+                "served=%.3f busiest=%.2f idlest=%.2f most_threads=%.1f backs=%d %s",
+                fleet.served(), fleet.unevenness(), fleet.idlest(), fleet.mostThreads(), fleet.mostBacks(),
+                fleet.counts());
+    }
+}
--- /dev/null
+++ b/src/rig/java/reedspring/rig/fleet/Rules.java
@@ -0,0 +1,253 @@
+package reedspring.rig.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import reedspring.rig.Rig;
+import reedspring.rig.fleet.Timetable.Entry;
+import reedspring.rig.fleet.Timetable.Link;
+import reedspring.rig.fleet.Timetable.What;
+
+/**
+ * The rules, seen from outside: what clients sent and got, what engines were sent and when, what each front
+ * had been told. A front that was killed, and a client whose own link failed, excuse the query they held and
+ * nothing else. Times are nanoseconds of the steady clock.
+ */
+final class Rules {
+    private static final long MS = 1_000_000;
+    /** The protocol's 50 ms, and what a machine full of processes may add. */
+    private static final long ANSWER_SLACK = 1_000 * MS;
+    private static final long DRAIN_SLACK = 250 * MS;
+    private static final long OVERLAP_SLACK = 20 * MS;
+    /** What the journal has to tell counts as told by then, whether or not it arrived. */
+    private static final long TOLD_AT_LAST = 7_000 * MS;
+
+    private final Timetable table;
+    private final long seed;
+    private long startedAt;
+    private final List<Span> excuses = new ArrayList<>();
+    private final Map<String, Long> toldOff = new HashMap<>();
+    private final Map<String, Long> toldOn = new HashMap<>();
+    private final Map<Integer, Long> downSince = new HashMap<>();
+    private final Map<Integer, Long> stoppedSince = new HashMap<>();
+    private final List<Span> stops = new ArrayList<>();
+    private final List<Span> journalFaults = new ArrayList<>();
+    private final List<Span> delays = new ArrayList<>();
+
+    private record Span(int front, long from, long to) {
+        private boolean meets(int other, long first, long last) {
+            return front == other && from <= last && to >= first;
+        }
+    }
+
+    Rules(Timetable table, long seed) {
+        this.table = table;
+        this.seed = seed;
+    }
+
+    synchronized void starts(long at) {
+        startedAt = at;
+    }
+
+    synchronized void begins(Entry entry, Set<Integer> fronts, Set<Integer> engines) {
+        long now = System.nanoTime();
+        long to = now + entry.span() * 100_000 + 50 * MS;
+        for (int f : fronts) {
+            if (entry.what().ofLinks() && entry.link() == Link.CLIENT) {
+                excuses.add(new Span(f, now - 50 * MS, to));
+            } else if (entry.what().ofLinks() && entry.link() == Link.JOURNAL) {
+                journalFaults.add(new Span(f, now - 50 * MS, to + 1_000 * MS));
+            } else if (entry.what().ofLinks()) {
+                // What a front wrote into a slow or cut link reaches the engine later.
+                delays.add(new Span(f, now - 50 * MS, to + (entry.what() == What.DELAY ? entry.by() * 200_000
+                        : 0)
+                        + 100 * MS));
+            } else if (entry.what() == What.LEAVE) {
+                excuses.add(new Span(f, now, to));
+            }
+        }
+    }
+
+    synchronized void ends(Entry entry) {
+        // spans were told at their beginning
+    }
+
+    synchronized void kills(int front) {
+        downSince.putIfAbsent(front, System.nanoTime());
+    }
+
+    /** Started again: until it serves, clients meet nobody. */
+    synchronized void starts(int front) {
+        excuses.add(new Span(front, downSince.remove(front) - 50 * MS, System.nanoTime() + 6_000 * MS));
+    }
+
+    synchronized boolean down(int front, long at) {
+        return downSince.containsKey(front);
+    }
+
+    synchronized void stops(int front) {
+        stoppedSince.put(front, System.nanoTime());
+    }
+
+    synchronized void goesOn(int front) {
+        stops.add(new Span(front, stoppedSince.remove(front), System.nanoTime()));
+    }
+
+    synchronized void told(int front, String engine, String health) {
+        if (health.equals("ready")) {
+            toldOn.putIfAbsent(front + "/" + engine, System.nanoTime());
+        } else {
+            toldOff.putIfAbsent(front + "/" + engine, System.nanoTime());
+        }
+    }
+
+    /** All rules over a whole run; what breaks one is thrown with its place. */
+    synchronized Tally check(List<Crowd.Try> tries, List<EngineHost.Attempt> attempts,
+            List<EngineHost> hosts) {
+        Map<String, List<EngineHost.Attempt>> byTrace = attempts.stream()
+                .collect(Collectors.groupingBy(a -> a.trace));
+        int excused = answers(tries, byTrace);
+        byTrace.forEach(this::effects);
+        attempts.forEach(this::drains);
+        hosts.forEach(host -> cold(host, attempts));
+        return tally(tries, attempts, excused);
+    }
+
+    private int answers(List<Crowd.Try> tries, Map<String, List<EngineHost.Attempt>> byTrace) {
+        int excused = 0;
+        for (Crowd.Try one : tries) {
+            require(one.came.size() <= 1, one, "answered twice: " + one.came);
+            require(!one.came.contains("spoilt"), one, "an answer that no engine made");
+            require(!one.came.contains("served") || byTrace.containsKey(one.trace), one,
+                    "served by no engine");
+            long due = one.ask.first() + Terms.leavesMs(table, one.ask.group()) * MS;
+            long latest = due + ANSWER_SLACK;
+            for (Span stop : stops) {
+                if (stop.meets(one.front, due - ANSWER_SLACK, latest)) {
+                    latest = Math.max(latest, stop.to + ANSWER_SLACK);
+                }
+            }
+            long last = latest;
+            boolean excuse = !one.sent || excuses.stream().anyMatch(s -> s.meets(one.front, one.sentAt, last))
+                    || downSince.containsKey(one.front);
+            excused += one.came.isEmpty() ? 1 : 0;
+            require(excuse || !one.came.isEmpty(), one, one.connectionLost
+                    ? "its connection was lost unanswered"
+                    : "no answer");
+            require(excuse || one.cameAt <= latest, one, "answered " + (one.cameAt - due) / MS
+                    + " ms past its time");
+        }
+        return excused;
+    }
+
+    /** At most so many submissions, never two at once. */
+    private void effects(String trace, List<EngineHost.Attempt> all) {
+        require(all.size() <= Terms.SEND_CAP, all.get(0), "submission " + all.size() + " of a query");
+        List<EngineHost.Attempt> order = all.stream().sorted(Comparator.comparingLong(a -> a.at)).toList();
+        for (int k = 1; k < order.size(); k++) {
+            EngineHost.Attempt before = order.get(k - 1);
+            EngineHost.Attempt next = order.get(k);
+            boolean slowLink = delays.stream().anyMatch(s -> s.meets(next.front, before.at, next.at));
+            require(before.endedAt != 0 && before.endedAt <= next.at + OVERLAP_SLACK || slowLink, next,
+                    "two submissions at once, the other at " + before.engine + ", " + before.end);
+        }
+    }
+
+    private void drains(EngineHost.Attempt attempt) {
+        Long told = toldOff.get(attempt.front + "/" + attempt.engine);
+        if (told == null) {
+            return;
+        }
+        long latest = told + Terms.DRAIN_MS * MS + DRAIN_SLACK;
+        if (journalFaults.stream().anyMatch(s -> s.meets(attempt.front, told, attempt.at))) {
+            latest = told + TOLD_AT_LAST + DRAIN_SLACK;
+        }
+        boolean slowLink = delays.stream().anyMatch(s -> s.meets(attempt.front, told, attempt.at));
+        require(attempt.at <= latest || slowLink, attempt, "sent " + (attempt.at - told) / MS
+                + " ms after its engine was told to drain");
+    }
+
+    /** All fronts together; a little more for chance, as in the operators' reckoning. */
+    private void cold(EngineHost host, List<EngineHost.Attempt> attempts) {
+        if (host.bornMs == 0) {
+            return;
+        }
+        double usual = 10 * (table.workMs()[0] * (table.longOneIn() - 1) + table.workMs()[1]) / table
+                .longOneIn();
+        List<EngineHost.Attempt> own = attempts.stream().filter(a -> a.engine.equals(host.name))
+                .sorted(Comparator.comparingLong(a -> a.at)).toList();
+        if (own.isEmpty()) {
+            return;
+        }
+        long window = Terms.COLD_WINDOW_MS * MS;
+        for (int from = 0; from < own.size() && own.get(from).at - own.get(0).at < Terms.RAMP_MS
+                * MS; from++) {
+            long first = own.get(from).at;
+            double warm = Math.min(1, Terms.COLD_FROM + (1 - Terms.COLD_FROM) * (first - own.get(0).at)
+                    / (Terms.RAMP_MS * MS));
+            double stands = Terms.COLD_MULTIPLE * warm * table.cores(host.at) * Terms.COLD_WINDOW_MS * 10
+                    / usual;
+            List<EngineHost.Attempt> within = own.stream().filter(a -> a.at >= first && a.at < first + window)
+                    .toList();
+            double came = within.stream().mapToDouble(a -> a.work).sum() / usual;
+            // An address can be that of one that has gone, and who knows of that one only can't know the new.
+            double knew = within.stream().filter(a -> a.at >= toldOn.getOrDefault(a.front + "/" + host.name,
+                    Long.MAX_VALUE)).mapToDouble(a -> a.work).sum() / usual;
+            require(came <= stands + 3 * Math.sqrt(stands) + 3 || knew <= came * 2 / 3, own.get(from),
+                    "cold engine pushed over: " + came + " usual queries in its window, " + stands
+                            + " allowed");
+        }
+    }
+
+    private Tally tally(List<Crowd.Try> tries, List<EngineHost.Attempt> attempts, int excused) {
+        int queries = 0;
+        int inTime = 0;
+        int late = 0;
+        int deferred = 0;
+        int failed = 0;
+        double offered = 0;
+        double served = 0;
+        for (Crowd.Try one : tries) {
+            int value = Terms.VALUE[one.ask.group()];
+            if (one.number == 1) {
+                queries++;
+                offered += value;
+            }
+            if (one.came.contains("served")) {
+                boolean well = one.cameAt - one.ask.first()
+                        <= Terms.target(one.ask.group(), one.ask.workMs()) * 100_000;
+                served += well ? value : 0;
+                inTime += well ? 1 : 0;
+                late += well ? 0 : 1;
+            } else if (one.came.contains("Shed")) {
+                deferred++;
+            } else if (!one.came.isEmpty()) {
+                failed++;
+            }
+        }
+        return new Tally(queries, tries.size(), inTime, late, deferred, failed, excused, served / Math.max(1,
+                offered),
+                attempts.size(), 0, 0, 0, 0);
+    }
+
+    private void require(boolean holds, Crowd.Try one, String what) {
+        if (!holds) {
+            broken(what + ": " + Terms.GROUPS[one.ask.group()] + " " + one.trace + " to front " + one.front
+                    + ", try " + one.number, one.sentAt);
+        }
+    }
+
+    private void require(boolean holds, EngineHost.Attempt one, String what) {
+        if (!holds) {
+            broken(what + ": " + one.trace + " from front " + one.front + " at " + one.engine, one.at);
+        }
+    }
+
+    private void broken(String what, long at) {
+        Rig.require(false, what + ", at " + (at - startedAt) / MS + " ms (" + table + ", seed " + seed + ")");
+    }
+}
--- /dev/null
+++ b/src/rig/java/reedspring/rig/fleet/Timetable.java
@@ -0,0 +1,228 @@
+package reedspring.rig.fleet;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import reedspring.settings.Ini;
+import reedspring.settings.SettingsException;
+
+/**
+ * What a fleet is and what happens to it when, as one file tells it. Times are tenths of a millisecond from
+ * the moment at which all fronts serve. Whom an entry hits is drawn from the run's seed, so a run is its
+ * file and its seed.
+ */
+public record Timetable(String name, int fronts, int engines, int sites, double[] cores, double memoryMb,
+                        long length, long settle, double perSecond, int longOneIn, int busyFronts,
+                                double busyTimes,
+                        int sessions, double[] workMs, double[] needMb, int patience, List<Entry> entries) {
+    /** The end of a link that is not the front. */
+    public enum Link { CLIENT, ENGINE, JOURNAL }
+
+    /** What can happen; the first eight happen to links. */
+    public enum What {
+        /** New connections are refused, open ones reset. */
+        REFUSE,
+        /** Nothing passes either way, nothing new comes up, nobody is told; goes on afterwards. */
+        CUT,
+        /** The same from the front on only. */
+        CUT_THERE,
+        /** The same towards the front only. */
+        CUT_BACK,
+        /** Open connections lose their far end and are not told; new ones work. */
+        HALF_OPEN,
+        /** Open connections are reset once. */
+        RESET,
+        DELAY,
+        THROTTLE,
+        /** SIGKILL, and a start when the time is over. */
+        KILL,
+        /** SIGSTOP, and SIGCONT when the time is over. */
+        STOP,
+        /** SIGTERM, and a start when the time is over. */
+        LEAVE,
+        /** Engines answer `failed` at once. */
+        FAIL,
+        /** Engines have a part of their cores only. */
+        SLOW,
+        /** Engines run what comes and answer nothing. */
+        SILENT,
+        /** Engines say that they are idle, whatever they are. */
+        LIE,
+        /** Engines say what they said last. */
+        STUCK,
+        /** Engines say nothing of their load. */
+        MUTE,
+        /** Engines are listed as draining, end what they hold, and go; a new one comes for each, cold. */
+        REPLACE,
+        /** Lists reach these fronts late. */
+        LATE_LIST,
+        /** More queries. */
+        BURST;
+
+        boolean ofLinks() {
+            return ordinal() <= THROTTLE.ordinal();
+        }
+
+        boolean ofEngines() {
+            return ordinal() >= FAIL.ordinal() && ordinal() <= REPLACE.ordinal();
+        }
+    }
+
+    /**
+     * One thing that happens from {@code at} on for {@code span}. {@code by} is a time (of a delay or lag),
+     * {@code times} a factor (slower, more queries), {@code rate} bytes a second.
+     */
+    public record Entry(String title, long at, long span, What what, Link link, String fronts, String engines,
+                        long by, double times, long rate) {
+        long until() {
+            return at + span;
+        }
+    }
+
+    private static final long SECOND = 10_000;
+    private static final int MOST = 1_000;
+
+    public static Timetable read(Path file) throws SettingsException {
+        Ini ini = new Ini(file);
+        String it = "fleet";
+        ini.has(it);
+        int fronts = (int) ini.count(it, "fronts", 8, 1, MOST);
+        int engines = (int) ini.count(it, "engines", 6, 1, MOST);
+        List<Entry> entries = new ArrayList<>();
+        for (String section : ini.sections()) {
+            if (!section.equals(it)) {
+                entries.add(entry(ini, section));
+            }
+        }
+        Timetable read = new Timetable(file.getFileName().toString(), fronts, engines,
+                (int) ini.count(it, "sites", 1, 1, 26), sizes(ini, it),
+                ini.size(it, "memory", 4L << 30, 1 << 20, 1L << 50) / (double) (1 << 20),
+                ini.span(it, "length", 10 * SECOND, SECOND, 600 * SECOND),
+                ini.span(it, "settle", 5 * SECOND, 0, 60 * SECOND),
+                ini.count(it, "queries_a_second", 80, 0, 100_000), (int) ini.count(it, "long_one_in", 8, 1,
+                        MOST),
+                (int) ini.count(it, "busy_fronts", 0, 0, fronts), ini.count(it, "busy_times", 1, 1, 100),
+                (int) ini.count(it, "sessions", 200, 1, 100_000),
+                new double[] {ini.span(it, "short_work", 1_200, 10, 600 * SECOND) / 10.0,
+                        ini.span(it, "long_work", 9_000, 10, 600 * SECOND) / 10.0},
+                new double[] {ini.size(it, "short_need", 60 << 20, 0, 1L << 50) / (double) (1 << 20),
+                        ini.size(it, "long_need", 250 << 20, 0, 1L << 50) / (double) (1 << 20)},
+                (int) ini.count(it, "patience", 3, 1, 60), List.copyOf(entries));
+        for (Entry entry : entries) {
+            if (!pattern(entry.fronts)) {
+                ini.fault(entry.title, "fronts", "'" + entry.fronts + "' chooses nobody");
+            }
+            if (!pattern(entry.engines)) {
+                ini.fault(entry.title, "engines", "'" + entry.engines + "' chooses nobody");
+            }
+        }
+        ini.end();
+        return read;
+    }
+
+    private static Entry entry(Ini ini, String section) {
+        ini.has(section);
+        List<String> words = IntStream.range(0, What.values().length).mapToObj(k -> word(What.values()[k]))
+                .toList();
+        String what = ini.word(section, "what", null, words);
+        if (what == null) {
+            ini.fault(section, "what", "missing");
+        }
+        String link = ini.word(section, "link", "engine", List.of("client", "engine", "journal"));
+        return new Entry(section, ini.span(section, "at", 0, 0, 600 * SECOND),
+                ini.span(section, "for", 0, 0, 600 * SECOND),
+                What.values()[Math.max(0, words.indexOf(what))], Link.valueOf(link.toUpperCase()),
+                ini.any(section, "fronts", "all"), ini.any(section, "engines", "all"),
+                ini.span(section, "by", 0, 0, 60 * SECOND),
+                factor(ini, section), ini.size(section, "rate", 1 << 20, 1, 1L << 40));
+    }
+
+    private static String word(What what) {
+        return what.name().toLowerCase().replace('_', '-');
+    }
+
+    private static double[] sizes(Ini ini, String section) {
+        String text = ini.any(section, "cores", "8");
+        if (!text.matches("[0-9]{1,4}( [0-9]{1,4})*")) {
+            ini.fault(section, "cores", "'" + text + "' is no list of cores such as 4 8 16");
+            return new double[] {8};
+        }
+        return List.of(text.split(" ")).stream().mapToDouble(Double::parseDouble).toArray();
+    }
+
+    private static double factor(Ini ini, String section) {
+        String text = ini.any(section, "times", "1");
+        if (!text.matches("[0-9]{1,3}(\\.[0-9]{1,2})?")) {
+            ini.fault(section, "times", "'" + text + "' is no factor such as 1.5");
+            return 1;
+        }
+        return Double.parseDouble(text);
+    }
+
+    private static boolean pattern(String who) {
+        return who.matches("all|none|[0-9]{1,2}%|[0-9]{1,4}|site [a-z]|[fe][0-9]{1,4}( [fe][0-9]{1,4})*");
+    }
+
+    /** A front or engine's site. */
+    public char site(int index) {
+        return (char) ('a' + index % sites);
+    }
+
+    public double cores(int engine) {
+        return cores[engine % cores.length];
+    }
+
+    /** The same with other numbers of fronts and engines, and the load that the engines' number gives. */
+    public Timetable sized(int otherFronts, int otherEngines) {
+        return new Timetable(name, otherFronts, otherEngines, sites, cores, memoryMb, length, settle,
+                perSecond * otherEngines / engines, longOneIn, busyFronts * otherFronts / fronts, busyTimes,
+                        sessions,
+                workMs, needMb, patience, entries);
+    }
+
+    /** How much of all queries the front gets. */
+    public double part(int front) {
+        double all = busyFronts * busyTimes + fronts - busyFronts;
+        return (front < busyFronts ? busyTimes : 1) / all;
+    }
+
+    public Set<Integer> frontsOf(Entry entry, long seed) {
+        return drawn(entry.fronts, 'f', fronts, seed ^ entry.title.hashCode());
+    }
+
+    public Set<Integer> enginesOf(Entry entry, long seed) {
+        return drawn(entry.engines, 'e', engines, seed ^ ~entry.title.hashCode());
+    }
+
+    private Set<Integer> drawn(String who, char letter, int count, long seed) {
+        if (who.equals("all") || who.equals("none")) {
+            return IntStream.range(0, who.equals("all") ? count : 0).boxed().collect(HashSet::new, Set::add,
+                    Set::addAll);
+        }
+        Set<Integer> set = new HashSet<>();
+        if (who.startsWith("site ")) {
+            IntStream.range(0, count).filter(k -> site(k) == who.charAt(5)).forEach(set::add);
+        } else if (who.charAt(0) == letter) {
+            for (String name : who.split(" ")) {
+                set.add(Integer.parseInt(name.substring(1)) % count);
+            }
+        } else if (who.matches("[0-9].*")) {
+            int many = who.endsWith("%") ? (int) Math.ceil(count * Integer.parseInt(who.substring(0,
+                    who.length() - 1)) / 100.0) : Integer.parseInt(who);
+            SplittableRandom chance = new SplittableRandom(seed);
+            while (set.size() < Math.min(many, count)) {
+                set.add(chance.nextInt(count));
+            }
+        }
+        return set;
+    }
+
+    @Override
+    public String toString() {
+        return name;
+    }
+}
