--- a/src/test/java/reedspring/fleet/FleetIT.java
+++ b/src/test/java/reedspring/fleet/FleetIT.java
@@ -40,6 +40,11 @@
         play("storm.ini", 14, 0.4);
     }
 
+    @Example
+    void listsComeSecondsApartWhileHalfOfTheEnginesAreReplaced() throws Exception {
+        play("lists.ini", 16, 0.3);
+    }
+
     @Example
     void aSiteIsLostAndLinksFailInOtherWays() throws Exception {
         play("site-lost.ini", 15, 0.3);
