Each breach is put before the rig's checker once, so that it is known to see it

Need: the fleet rig's Rules had only met runs in order; a checker that can't fail checks nothing.

An empty method of Rules is gone.

--- a/src/rig/java/reedspring/rig/fleet/Crowd.java
+++ b/src/rig/java/reedspring/rig/fleet/Crowd.java
@@ -42,7 +42,7 @@
         volatile boolean sent;
         volatile boolean connectionLost;
 
-        private Try(Ask ask, int number, int front) {
+        Try(Ask ask, int number, int front) {
             this.ask = ask;
             this.number = number;
             this.front = front;
--- a/src/rig/java/reedspring/rig/fleet/EngineHost.java
+++ b/src/rig/java/reedspring/rig/fleet/EngineHost.java
@@ -33,7 +33,7 @@
         volatile String end = "out";
         private final EngineStandIn.Command command;
 
-        private Attempt(EngineStandIn.Command command, int front, String engine, double work) {
+        Attempt(EngineStandIn.Command command, int front, String engine, double work) {
             this.trace = command.id();
             this.front = front;
             this.engine = engine;
@@ -42,7 +42,7 @@
             this.command = command;
         }
 
-        private void ends(String how) {
+        void ends(String how) {
             if (endedAt == 0) {
                 end = how;
                 endedAt = System.nanoTime();
--- a/src/rig/java/reedspring/rig/fleet/Fleet.java
+++ b/src/rig/java/reedspring/rig/fleet/Fleet.java
@@ -323,7 +323,6 @@
     }
 
     private void ends(Entry entry) throws Exception {
-        rules.ends(entry);
         if (entry.what().ofLinks()) {
             links(entry, false);
             return;
--- a/src/rig/java/reedspring/rig/fleet/Rules.java
+++ b/src/rig/java/reedspring/rig/fleet/Rules.java
@@ -72,10 +72,6 @@
         }
     }
 
-    synchronized void ends(Entry entry) {
-        // spans were told at their beginning
-    }
-
     synchronized void kills(int front) {
         downSince.putIfAbsent(front, System.nanoTime());
     }
--- /dev/null
+++ b/src/test/java/reedspring/rig/fleet/RulesTest.java
@@ -0,0 +1,144 @@
+package reedspring.rig.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.Example;
+import reedspring.rig.EngineStandIn;
+
+/**
+ * A checker that can't fail checks nothing: each breach is put before it once, beside a run that is in
+ * order.
+ */
+class RulesTest {
+    private static final long MS = 1_000_000;
+    private final Timetable table;
+    private final Rules rules;
+    private final List<Crowd.Try> tries = new ArrayList<>();
+    private final List<EngineHost.Attempt> attempts = new ArrayList<>();
+
+    RulesTest() throws Exception {
+        table = Timetable.read(Path.of("bench/timetables/calm.ini"));
+        rules = new Rules(table, 1);
+        rules.starts(System.nanoTime());
+    }
+
+    private Crowd.Try asked(int group, String... came) {
+        Crowd.Try one = new Crowd.Try(new Crowd.Ask(group, 100, 10, System.nanoTime()), 1, 0);
+        one.sent = true;
+        one.came.addAll(List.of(came));
+        one.cameAt = System.nanoTime();
+        tries.add(one);
+        return one;
+    }
+
+    private EngineHost.Attempt sent(Crowd.Try one, String engine, long afterMs, String end) {
+        EngineHost.Attempt attempt = new EngineHost.Attempt(new EngineStandIn.Command(List.of("fetch",
+                one.trace,
+                "-", ""), null, System.nanoTime() + afterMs * MS), 0, engine, 1_000);
+        if (end != null) {
+            attempt.ends(end);
+        }
+        attempts.add(attempt);
+        return attempt;
+    }
+
+    private Tally check() {
+        return rules.check(tries, attempts, List.of());
+    }
+
+    private void broken(String how) {
+        AssertionError error = assertThrows(AssertionError.class, this::check);
+        assertTrue(error.getMessage().contains(how), error.getMessage());
+        assertTrue(error.getMessage().contains("calm.ini, seed 1"), error.getMessage());
+    }
+
+    @Example
+    void aRunInOrderPassesAndIsCounted() {
+        sent(asked(0, "served"), "e0", 0, "data");
+        Crowd.Try again = asked(1, "served");
+        sent(again, "e0", 0, "failed");
+        sent(again, "e1", 1, "data");
+        asked(0, "Shed");
+        sent(asked(2, "Fault"), "e0", 0, "failed");
+        sent(asked(2, "Shed"), "e0", 0, "full");
+        Tally tally = check();
+        assertEquals(List.of(5, 2, 2, 1), List.of(tally.queries(), tally.inTime(), tally.deferred(),
+                tally.failed()));
+    }
+
+    @Example
+    void twoAnswers() {
+        sent(asked(0, "served", "Shed"), "e0", 0, "data");
+        broken("answered twice");
+    }
+
+    @Example
+    void noAnswerAndOneThatIsLate() {
+        asked(0).cameAt = 0;
+        broken("no answer");
+        tries.clear();
+        asked(0, "Shed").cameAt += 60_000 * MS;
+        broken("past its time");
+    }
+
+    @Example
+    void rowsThatNoEngineMade() {
+        asked(0, "served");
+        broken("served by no engine");
+        tries.clear();
+        sent(asked(0, "spoilt"), "e0", 0, "data");
+        broken("an answer that no engine made");
+    }
+
+    @Example
+    void twoSubmissionsAtOnceAndOneTooMany() {
+        Crowd.Try one = asked(0, "served");
+        sent(one, "e0", 0, null);
+        sent(one, "e1", 200, "data");
+        broken("two submissions at once");
+        attempts.clear();
+        for (int k = 0; k <= Terms.SEND_CAP; k++) {
+            sent(one, "e" + k, k, "failed");
+        }
+        broken("submission 4 of a query");
+    }
+
+    @Example
+    void aChangeThatRunsTwiceOrIsDeferredAfterItRan() {
+        Crowd.Try one = asked(Terms.CHANGE, "served");
+        sent(one, "e0", 0, "given up");
+        sent(one, "e1", 10, "data");
+        broken("a change was run 2 times");
+        attempts.clear();
+        tries.clear();
+        sent(asked(Terms.CHANGE, "Shed"), "e0", 0, "failed");
+        broken("a change that may have run was deferred");
+    }
+
+    @Example
+    void workForAnEngineThatDrains() {
+        rules.told(0, "e0", "draining");
+        Crowd.Try one = asked(0, "served");
+        sent(one, "e0", 400, "data");
+        check();
+        attempts.clear();
+        sent(one, "e0", 2_000, "data");
+        broken("after its engine was told to drain");
+    }
+
+    /** What a killed front held is excused; what another holds is not. */
+    @Example
+    void onlyTheDeadAreExcused() {
+        rules.kills(0);
+        asked(0).cameAt = 0;
+        assertEquals(1, check().excused());
+        tries.add(new Crowd.Try(new Crowd.Ask(0, 100, 10, System.nanoTime()), 1, 1));
+        tries.get(1).sent = true;
+        broken("no answer");
+    }
+}
