--- a/src/rig/java/reedspring/rig/fleet/EngineHost.java
+++ b/src/rig/java/reedspring/rig/fleet/EngineHost.java
@@ -62,7 +62,6 @@
     private boolean lies;
     private boolean mute;
     private double threadTime;
-    private double idleTime;
     private long nextNote;
 
     /** {@code bornMs} 0: it started long ago and is warm. */
@@ -126,7 +125,6 @@
     synchronized void step(long span) {
         long now = now();
         threadTime += (double) machine.threads() * span;
-        idleTime += machine.threads() == 0 ? span : 0;
         for (Machine.Run run : machine.step(now, span)) {
             Attempt attempt = (Attempt) run.of;
             if (attempt.endedAt == 0) {
--- a/src/rig/java/reedspring/rig/fleet/Machine.java
+++ b/src/rig/java/reedspring/rig/fleet/Machine.java
@@ -42,8 +42,6 @@
     private final long ramp;
     private final List<Run> runs = new ArrayList<>();
     private double slower = 1;
-    private double used;
-    private double offered;
 
     /** {@code ramp} 0: warm from the start; else it has {@code from} of its cores at first. */
     Machine(double cores, double memoryMb, int sessions, long startedAt, double from, long ramp) {
@@ -62,7 +60,6 @@
         }
         Run run = new Run(of, work, needMb, threads, now);
         runs.add(run);
-        offered += work;
         return run;
     }
 
@@ -92,15 +89,6 @@
         return runs;
     }
 
-    /** All work that it did, and all that it was given, of one core in tenths of a millisecond. */
-    double used() {
-        return used;
-    }
-
-    double offered() {
-        return offered;
-    }
-
     /** Lets the span pass, which ends now; what has ended in it. */
     List<Run> step(long now, long span) {
         int threads = threads();
@@ -110,7 +98,6 @@
         List<Run> ended = new ArrayList<>();
         for (Run run : runs) {
             run.done += pace * run.threads * span;
-            used += pace * run.threads * span;
             if (run.done >= run.work) {
                 ended.add(run);
             }
