--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -49,64 +49,12 @@
 import reedspring.rig.Program;
 
 /** Starts the built program by the deploy file's line and speaks to it over loopback sockets. */
-class FrontIT {
-    private static final int PATIENCE = 5000;
+class FrontIT extends Started {
     private static final int EACH = 12;
     /** The rules allow 70; the machine that tests may be busy. */
     private static final int LATE_MS = 400;
     private static final int MEMORY_MB = 104;
 
-    private final List<AutoCloseable> opened = new ArrayList<>();
-    private JournalStandIn journal;
-    private Program front;
-
-    private <T extends AutoCloseable> T open(T what) {
-        opened.add(what);
-        return what;
-    }
-
-    @AfterTry
-    void closeAll() throws Exception {
-        for (AutoCloseable what : opened) {
-            what.close();
-        }
-    }
-
-    private EngineStandIn engine(int pages) throws IOException {
-        return open(new EngineStandIn(EngineStandIn.pages(pages)));
-    }
-
-    private EngineStandIn silentEngine() throws IOException {
-        return open(new EngineStandIn(command -> { }));
-    }
-
-    private Client client() throws IOException {
-        return open(front.client());
-    }
-
-    /** A front that knows these engines, e0 and on. */
-    private void start(EngineStandIn... engines) throws Exception {
-        String[] hosts = new String[engines.length];
-        for (int k = 0; k < hosts.length; k++) {
-            hosts[k] = host("e" + k, engines[k].address(), "ready");
-        }
-        startWith(hosts);
-    }
-
-    private void startWith(String... hosts) throws Exception {
-        journal = open(new JournalStandIn());
-        front = open(new Program(Program.config(Program.freeAddress(), journal.address(),
-                event(1, true, hosts)))).ready();
-    }
-
-    private void serves() throws IOException {
-        String trace = Client.trace();
-        try (Client fresh = front.client()) {
-            String rows = Client.rows(fresh.send(Client.query(1, trace, PATIENCE, "select 1")).read());
-            assertTrue(rows != null && rows.startsWith(EngineStandIn.page(trace, 0)), rows);
-        }
-    }
-
     @Example
     void answersHoldAllPagesInOrderAndTheStatementGoesOnUnchanged() throws Exception {
         EngineStandIn engine = open(new EngineStandIn(command -> {
@@ -373,13 +321,6 @@
         assertEquals(2L, client.read().get(1));
     }
 
-    private void startHeedingCancels(EngineStandIn engine) throws Exception {
-        journal = open(new JournalStandIn());
-        String config = Program.config(Program.freeAddress(), journal.address(),
-                event(1, true, host("e0", engine.address(), "ready")));
-        front = open(new Program(config.replace("\"cancel\":false", "\"cancel\":true"))).ready();
-    }
-
     /** A machine that is cut off: connections to it neither come up nor fail. */
     @Example
     void whereNoConnectionComesUpNothingRanAndAnotherEngineServes() throws Exception {
--- /dev/null
+++ b/src/test/java/reedspring/net/Started.java
@@ -0,0 +1,77 @@
+package reedspring.net;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static reedspring.rig.JournalStandIn.event;
+import static reedspring.rig.JournalStandIn.host;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.lifecycle.AfterTry;
+import reedspring.rig.Client;
+import reedspring.rig.EngineStandIn;
+import reedspring.rig.JournalStandIn;
+import reedspring.rig.Program;
+
+/** What tests of the started program share: the program, its engines, its journal service, and their ends. */
+abstract class Started {
+    static final int PATIENCE = 5000;
+
+    final List<AutoCloseable> opened = new ArrayList<>();
+    JournalStandIn journal;
+    Program front;
+
+    final <T extends AutoCloseable> T open(T what) {
+        opened.add(what);
+        return what;
+    }
+
+    @AfterTry
+    void closeAll() throws Exception {
+        for (AutoCloseable what : opened) {
+            what.close();
+        }
+    }
+
+    final EngineStandIn engine(int pages) throws IOException {
+        return open(new EngineStandIn(EngineStandIn.pages(pages)));
+    }
+
+    final EngineStandIn silentEngine() throws IOException {
+        return open(new EngineStandIn(command -> { }));
+    }
+
+    final Client client() throws IOException {
+        return open(front.client());
+    }
+
+    /** A front that knows these engines, e0 and on. */
+    final void start(EngineStandIn... engines) throws Exception {
+        String[] hosts = new String[engines.length];
+        for (int k = 0; k < hosts.length; k++) {
+            hosts[k] = host("e" + k, engines[k].address(), "ready");
+        }
+        startWith(hosts);
+    }
+
+    final void startWith(String... hosts) throws Exception {
+        journal = open(new JournalStandIn());
+        front = open(new Program(Program.config(Program.freeAddress(), journal.address(),
+                event(1, true, hosts)))).ready();
+    }
+
+    final void serves() throws IOException {
+        String trace = Client.trace();
+        try (Client fresh = front.client()) {
+            String rows = Client.rows(fresh.send(Client.query(1, trace, PATIENCE, "select 1")).read());
+            assertTrue(rows != null && rows.startsWith(EngineStandIn.page(trace, 0)), rows);
+        }
+    }
+
+    final void startHeedingCancels(EngineStandIn engine) throws Exception {
+        journal = open(new JournalStandIn());
+        String config = Program.config(Program.freeAddress(), journal.address(),
+                event(1, true, host("e0", engine.address(), "ready")));
+        front = open(new Program(config.replace("\"cancel\":false", "\"cancel\":true"))).ready();
+    }
+}
