Clients' connections end in order, and what a client left behind is not sent

- ClientConnection.spoilt, tick and exceptionCaught closed at once.
What Netty still held was dropped, and a close over unread bytes resets the connection: an answer of 42 kB that a slow client was reading ended in `Connection reset`.
Now the last answer is flushed, the write side shut, and input read and thrown away for a second; nothing read after that reaches the decisions.
Such connections are bounded, as each holds a descriptor.
The eviction in Front.came takes the same way, after a look into the socket of the one to go: what seemed idle may have asked already.
- While a client was not writable it was not read from (setAutoRead(false)): its close and its revokes lay in the socket, and a query that it had taken back got a further submission.
It is read from always now.
Answers that are written and not yet gone out count among its 32 open ones, and 128 of them end the connection, so what is held stays bounded.
The time of arrival of what lay unread needs no bookkeeping any more.
- After a stop of the loop, a query and the close of its connection lie in the socket together, and the selector hands over the query first: it was sent on 300 ms after its client had gone.
Front.depart looks into the client's socket before the bytes go.
Ruled out: the revoke behind a query, which was read in the same turn already.
- Front.submit passed over a query that was answered meanwhile without an end for it; its threads would have counted as out for good.
No order of events was found that does this today; it is closed as not sent.

The stand-ins learn to hold connections back (EngineStandIn.late), to run under a limit on descriptors and to have the configuration in a pipe.

--- a/src/main/java/reedspring/net/ClientConnection.java
+++ b/src/main/java/reedspring/net/ClientConnection.java
@@ -1,9 +1,13 @@
 package reedspring.net;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.nio.AbstractNioChannel;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderException;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -22,7 +26,10 @@
     private final RpcDecoder decoder;
     private ChannelHandlerContext channel;
     private long lastUsedAt;
-    private long deafSince = Long.MAX_VALUE;
+    /** Answers that are written and have not gone out: for their client these are still open. */
+    private int unread;
+    private boolean ending;
+    private Timers.Due lingers;
     private long unsentBytes;
     private boolean progress;
     private boolean useful;
@@ -54,8 +61,8 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         lastUsedAt = front.clock().now();
-        if (!ctx.channel().isOpen()) {
-            // What was read together with the message that it was closed for, behind it.
+        if (ending || !ctx.channel().isOpen()) {
+            // What was read together with the message that it ended for, behind it.
             if (message instanceof RpcDecoder.Call call && call.body() != null) {
                 call.body().release();
             }
@@ -80,16 +87,14 @@
                 error(call.id(), call.fault());
             } else if (call.method().equals("heartbeat")) {
                 use();
-                channel.writeAndFlush(RpcWriter.heartbeat(channel.alloc(), call.id(), front.able()));
+                answer(RpcWriter.heartbeat(channel.alloc(), call.id(), front.able()));
             } else if (front.kept() != null && (call.method().equals("page")
                     || call.method().equals("release"))) {
                 kept(call);
-            } else if (open.size() >= front.limits().clientQueries) {
+            } else if (open.size() + unread >= front.limits().clientQueries) {
                 turnAway(call.id());
             } else {
-                // While this client was not read from, what it sent lay in a buffer.
-                long arrived = Math.min(front.timers().earliestArrival(), deafSince);
-                OpenQuery q = front.take(this, call, arrived);
+                OpenQuery q = front.take(this, call, front.timers().earliestArrival());
                 if (q != null) {
                     use();
                     open.put(call.id(), q);
@@ -125,12 +130,7 @@
             int length = text.readableBytes();
             channel.write(RpcWriter.rowsHead(channel.alloc(), id, length));
             channel.write(text);
-            front.hold(length);
-            channel.writeAndFlush(RpcWriter.rowsTail(channel.alloc(), "sheet", Integer.toString(sheet)))
-                    .addListener(done -> {
-                        front.hold(-length);
-                        progress = true;
-                    });
+            answer(RpcWriter.rowsTail(channel.alloc(), "sheet", Integer.toString(sheet)), length);
         }
     }
 
@@ -148,18 +148,18 @@
     /** The answer is gone, and its query may be asked once more without harm. */
     void askAnew(long id, String why) {
         reads.remove(id);
-        channel.writeAndFlush(RpcWriter.error(channel.alloc(), id, "Shed", "say", why));
+        answer(RpcWriter.error(channel.alloc(), id, "Shed", "say", why));
     }
 
     void released(long id) {
-        channel.writeAndFlush(RpcWriter.heartbeat(channel.alloc(), id, true));
+        answer(RpcWriter.heartbeat(channel.alloc(), id, true));
     }
 
     /** An error, and the end of a connection on which nothing can be told apart any more. */
     void spoilt(long id, String why) {
         front.log().line("client connection closed, numbers used twice", why);
         error(id, why);
-        close();
+        shut();
     }
 
     /** Whether it takes what is sent to it. */
@@ -178,11 +178,7 @@
         int length = pages.stream().mapToInt(ByteBuf::readableBytes).sum();
         channel.write(RpcWriter.rowsHead(channel.alloc(), q.messageId, length));
         pages.forEach(page -> channel.write(page.retain()));
-        front.hold(length);
-        channel.writeAndFlush(RpcWriter.rowsTail(channel.alloc())).addListener(done -> {
-            front.hold(-length);
-            progress = true;
-        });
+        answer(RpcWriter.rowsTail(channel.alloc()), length);
     }
 
     /** The first page of an answer that is kept, and how to come for the others. */
@@ -193,13 +189,8 @@
         int length = first.readableBytes();
         channel.write(RpcWriter.rowsHead(channel.alloc(), q.messageId, length));
         channel.write(first.retain());
-        front.hold(length);
-        channel.writeAndFlush(RpcWriter.rowsTail(channel.alloc(), "sheets", Integer.toString(s.sheets),
-                "handle",
-                s.handle, "kept", Long.toString(s.keptForMs))).addListener(done -> {
-                    front.hold(-length);
-                    progress = true;
-                });
+        answer(RpcWriter.rowsTail(channel.alloc(), "sheets", Integer.toString(s.sheets), "handle",
+                s.handle, "kept", Long.toString(s.keptForMs)), length);
     }
 
     /** A retry is safe; {@code comeBack} in tenths, 0 for no time named. */
@@ -219,12 +210,33 @@
     }
 
     private void shed(long id, long pauseMs) {
-        channel.writeAndFlush(RpcWriter.error(channel.alloc(), id, "Shed", "pause",
+        answer(RpcWriter.error(channel.alloc(), id, "Shed", "pause",
                 pauseMs > 0 ? Long.toString(pauseMs) : null));
     }
 
     void error(long id, String why) {
-        channel.writeAndFlush(RpcWriter.error(channel.alloc(), id, "Fault", "say", why));
+        answer(RpcWriter.error(channel.alloc(), id, "Fault", "say", why));
+    }
+
+    private void answer(ByteBuf message) {
+        answer(message, 0);
+    }
+
+    /** The last bytes of an answer, {@code held} of it counted against the room for all. */
+    private void answer(ByteBuf message, int held) {
+        unread++;
+        front.hold(held);
+        channel.writeAndFlush(message).addListener(done -> {
+            unread--;
+            front.hold(-held);
+            progress |= held > 0;
+        });
+        // It is read from all the same, as only so its close and its revokes are seen. No client has so many
+        // open, and each answer here, however small, takes room.
+        if (unread > front.limits().clientUnread && !ending) {
+            front.log().line("client connection closed, it does not read", unread + " answers wait");
+            close();
+        }
     }
 
     /** Whether it has been there for long enough to have sent something. */
@@ -263,13 +275,16 @@
             front.log().line("client connection closed, it does not read", waits + " bytes wait");
             close();
         } else if (idleSince(now - front.limits().clientIdle * 10L)) {
-            close();
+            // A query may lie unread just now.
+            if (there() && idleSince(now - front.limits().clientIdle * 10L)) {
+                shut();
+            }
         } else if (!useful && ++ticks > front.limits().silentTicks) {
             front.log().line("client connection closed, nothing of use came", "");
-            close();
+            shut();
         } else if (unfinished()) {
             front.log().line("client connection closed, a message does not end", "");
-            close();
+            shut();
         }
     }
 
@@ -281,38 +296,89 @@
         return unfinishedTicks > front.limits().unfinishedTicks;
     }
 
+    /** At once. What is still unread, or not yet sent, is lost with it. */
     void close() {
         channel.close();
     }
 
-    @Override
-    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        boolean reads = ctx.channel().isWritable();
-        ctx.channel().config().setAutoRead(reads);
-        if (!reads) {
-            deafSince = Math.min(deafSince, front.clock().now());
+    /**
+     * An orderly end: the last answers go out, then the write side is shut, and what crosses that is read to
+     * its end and thrown away, for a bounded time. A close over unread bytes would reset the connection and
+     * take answers on their way with it; and what is read after the shutdown can't be answered any more, so
+     * that it must not be sent on. Its client sees the end and asks again elsewhere.
+     */
+    void shut() {
+        if (ending) {
+            return;
         }
+        ending = true;
+        decoder.hearNoMore();
+        abandon();
+        front.lingers(this);
+        unsentBytes = Long.MAX_VALUE;
+        lingerOn();
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> {
+            if (done.isSuccess() && channel.channel() instanceof DuplexChannel socket) {
+                socket.shutdownOutput();
+            } else {
+                close();
+            }
+        });
     }
 
-    @Override
-    public void channelReadComplete(ChannelHandlerContext ctx) {
-        // What lay in the socket has been read, so the next bytes are new; not so while it isn't read.
-        if (ctx.channel().config().isAutoRead()) {
-            deafSince = Long.MAX_VALUE;
-        }
+    /** As long as it takes what it was sent; without that the bound stands. */
+    private void lingerOn() {
+        lingers = front.timers().in(front.limits().clientLinger * 10L, () -> {
+            long waits = pending();
+            if (waits > 0 && waits < unsentBytes) {
+                unsentBytes = waits;
+                lingerOn();
+            } else {
+                close();
+            }
+        });
     }
 
-    @Override
-    public void channelInactive(ChannelHandlerContext ctx) {
+    /** Nothing more is owed here. */
+    private void abandon() {
         front.gone(this);
         List<OpenQuery> left = new ArrayList<>(open.values());
         open.clear();
+        reads.clear();
         left.forEach(front::left);
     }
 
+    /**
+     * Whether it is still there, by what lies in its socket now. After a stop of the loop a query, its revoke
+     * and the close of its connection lie there together, and the selector hands over one look's worth.
+     */
+    boolean there() {
+        Channel socket = channel.channel();
+        if (!ending && socket.isActive() && socket.unsafe() instanceof AbstractNioChannel.NioUnsafe reader) {
+            reader.read();
+        }
+        if (!socket.isOpen()) {
+            // Netty tells so with a task of its own, after this.
+            abandon();
+        }
+        return socket.isOpen() && !ending;
+    }
+
+    boolean busy() {
+        return !open.isEmpty() || !reads.isEmpty();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        ending = true;
+        abandon();
+        front.lingersNoMore(this);
+        front.timers().cancel(lingers);
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        if (!ctx.channel().isOpen()) {
+        if (!ctx.channel().isOpen() || ending && !(cause instanceof IOException)) {
             // The rest of what was read is decoded once more at the close, and fails once more.
             return;
         }
@@ -323,6 +389,10 @@
         } else {
             front.log().fault("client connection closed, fault", cause);
         }
-        ctx.close();
+        if (cause instanceof IOException) {
+            close();
+        } else {
+            shut();
+        }
     }
 }
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -53,6 +53,8 @@
     private boolean listed;
     private boolean leaving;
     private long stayUntil = Long.MAX_VALUE;
+    /** Those whose write side is shut, in the order of their ends. */
+    private final Set<ClientConnection> lingering = new LinkedHashSet<>();
     private long ids;
     private long held;
     private long sumAt;
@@ -136,11 +138,11 @@
         if (newcomers.size() + clients.size() >= limits.clientConnections) {
             log.line("client connections at their limit", Integer.toString(limits.clientConnections));
             ClientConnection idle = leastClaim();
-            if (idle == null) {
+            if (idle != null) {
+                idle.shut();
+            } else if (newcomers.size() + clients.size() >= limits.clientConnections) {
                 return false;
             }
-            gone(idle);
-            idle.close();
         }
         newcomers.add(client);
         return true;
@@ -151,17 +153,29 @@
      * again on another. What has just come is about to ask, and would lose its query.
      */
     private ClientConnection leastClaim() {
-        ClientConnection eldest = newcomers.isEmpty() ? null : newcomers.iterator().next();
-        if (eldest != null && eldest.hadItsChance()) {
-            return eldest;
+        for (ClientConnection silent : List.copyOf(newcomers)) {
+            if (!silent.hadItsChance()) {
+                break;
+            }
+            if (!asks(silent)) {
+                return silent;
+            }
         }
         long now = clock.now();
-        for (ClientConnection client : clients) {
-            if (client.idleSince(now) && !client.midway()) {
+        for (ClientConnection client : List.copyOf(clients)) {
+            if (client.idleSince(now) && !client.midway() && !asks(client)) {
                 return client;
             }
         }
-        return eldest;
+        return newcomers.stream().findFirst().filter(eldest -> !asks(eldest)).orElse(null);
+    }
+
+    /**
+     * Whether something of it lay unread. What looks idle after a stop of the loop, or a moment after it was
+     * accepted, may have asked already, and the end of its connection would cost that query.
+     */
+    private static boolean asks(ClientConnection client) {
+        return !client.there() || client.busy() || client.midway() || client.unsent();
     }
 
     /** It has sent something of use or had an answer, and goes to the end of the line. */
@@ -179,6 +193,21 @@
     /** The query, still to be decided, or null if it was answered here. */
     OpenQuery take(ClientConnection client, RpcDecoder.Call call, long arrivedAt) {
         Map<String, String> fields = call.fields();
+    /** Its write side is shut, and what still comes is thrown away. */
+    void lingers(ClientConnection client) {
+        if (lingering.size() >= limits.lingering && !leaving) {
+            // Each holds a descriptor, and a flood of ends must not take those of engines and journal.
+            ClientConnection eldest = lingering.iterator().next();
+            lingering.remove(eldest);
+            eldest.close();
+        }
+        lingering.add(client);
+    }
+
+    void lingersNoMore(ClientConnection client) {
+        lingering.remove(client);
+    }
+
         Id.Group group = boot.group(call.method());
         String fault = null;
         double patience = number(fields, "patience");
@@ -384,7 +413,7 @@
 
     private void submit(Action.Submit submit) {
         OpenQuery q = queries.get(submit.query());
-        if (q == null || q.answered || q.out != null) {
+        if (q == null || q.out != null) {
             log.line("submission for a query that is over", Long.toString(submit.query().value()));
             return;
         }
@@ -425,6 +454,12 @@
                 log.fault("a submission failed", e);
             }
         }
+        if (q.answered) {
+            // Its client left after the event that is being decided; without an end its threads would count
+            // as out for good.
+            closed(s, Outcome.NOT_SENT);
+            return;
+        }
     }
 
     /** A submission has ended, in whatever way; what comes of it later is not heard any more. */
@@ -444,6 +479,11 @@
             kept.over(s);
         }
         if (outcome == Outcome.FINISHED && !q.answered) {
+            if (!s.over && s.query.client != null) {
+                // A client that has gone, or has taken its query back, may have done so while the loop stood
+                // still: its close lies in the socket behind the query, where the selector has yet to look.
+                s.query.client.there();
+            }
             q.answered = true;
             if (s.handle != null) {
                 q.client.firstPage(q, s);
--- a/src/main/java/reedspring/net/Limits.java
+++ b/src/main/java/reedspring/net/Limits.java
@@ -10,9 +10,21 @@
  * or a connection goes.
  */
 final class Limits {
+    /**
+     * Files of the JVM and its libraries, log, loop and listener, two calls to the journal service (the old
+     * one ends after a move), the configuration's file and some to spare; 29 are open on a front at rest.
+     */
+    private static final int OWN_DESCRIPTORS = 40;
+
     // Clients. They may hold a third of the descriptors; the rest of the half is for those that overlap.
     final int clientConnections;
     final int clientQueries = 32;
+    /** Answers that a client leaves unread before it is cut off; no client can wait for so many. */
+    final int clientUnread = 4 * clientQueries;
+    /** For which a connection whose write side is shut is read on, so that what crosses resets nothing. */
+    final int clientLinger = 1_000;
+    /** Connections in that state; past this the eldest of them is closed at once. */
+    final int lingering;
     final int clientIdle = 60_000;
     /** Looks after which a client that has sent nothing of use, or has not ended a message, has to go. */
     final int silentTicks = 8;
@@ -93,9 +105,14 @@
         // A twelfth of the memory. Buffers have a quarter and grow by doubling: a tenth, doubled, left too
         // little for reads and what lies between, and four floods in eight met the end of direct memory.
         heldBytes = (memoryMb << 20) / 12;
-        clientConnections = sockets / 2;
+        // What remains after the process's own stands open to clients, who come in any number, to engines and
+        // to connections that end. Their sum stays under the limit, so that a call to the journal service is
+        // always possible: idle clients may fill their part for as long as discovery is down.
+        int free = sockets - OWN_DESCRIPTORS;
+        lingering = Math.max(1, free / 16);
+        allEngineConnections = Math.max(4, Math.min(sockets / 4, free / 3));
         engineConnections = Math.max(1, Math.min(8, sockets / 64));
-        allEngineConnections = sockets / 4;
+        clientConnections = Math.min(sockets / 2, free - allEngineConnections - lingering);
         connectionQueries = Math.max(1, (int) boot.number("allowed.multiplex", 32));
         connectTimeout = Math.max(1, (int) boot.number("allowed.connectTimeoutMs", 1_000));
         // The engine closes at the full time; a submission that crossed that would have an unclear end.
--- a/src/main/java/reedspring/net/RpcDecoder.java
+++ b/src/main/java/reedspring/net/RpcDecoder.java
@@ -28,6 +28,7 @@
     private long discards;
     private long refused;
     private long messages;
+    private boolean deaf;
 
     /** Who counts the bytes of all unfinished messages, and says whether there is room for more. */
     interface Pieces {
@@ -52,6 +53,10 @@
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+        if (deaf) {
+            in.skipBytes(in.readableBytes());
+            return;
+        }
         if (discards > 0) {
             int passed = (int) Math.min(discards, in.readableBytes());
             in.skipBytes(passed);
@@ -104,6 +109,13 @@
         unfinished(0);
     }
 
+    /** The connection ends: what is still read of it is thrown away and holds no room. */
+    void hearNoMore() {
+        deaf = true;
+        unfinished(0);
+        discards = 0;
+    }
+
     /** How many messages have come whole. */
     long messages() {
         return messages;
--- a/src/rig/java/reedspring/rig/EngineStandIn.java
+++ b/src/rig/java/reedspring/rig/EngineStandIn.java
@@ -3,7 +3,10 @@
 import java.io.BufferedInputStream;
 import java.io.DataInputStream;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -44,6 +47,10 @@
         }
     }
 
+    /** After which a connection that has not come up is taken for one too many. */
+    private static final int FULL_MS = 150;
+
+    private final List<Socket> line = new ArrayList<>();
     private final Consumer<Command> work;
     private final Consumer<Socket> gone;
     public final List<Command> seen = Collections.synchronizedList(new ArrayList<>());
@@ -63,6 +70,38 @@
         this.gone = gone;
     }
 
+    private EngineStandIn(ServerSocket socket, Consumer<Command> work) {
+        super(socket);
+        this.work = work;
+        this.gone = peer -> { };
+    }
+
+    /**
+     * One to which no connection comes up before {@link #comesUp}: its line of connections is full and nobody
+     * accepts. What is dialled meanwhile comes up with the kernel's next try, one or three seconds after.
+     */
+    public static EngineStandIn late(Consumer<Command> work) throws IOException {
+        EngineStandIn late = new EngineStandIn(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()), work);
+        for (boolean full = false; !full; ) {
+            Socket one = new Socket();
+            try {
+                one.connect(late.socket.getLocalSocketAddress(), FULL_MS);
+                late.line.add(one);
+            } catch (SocketTimeoutException e) {
+                one.close();
+                full = true;
+            }
+        }
+        return late;
+    }
+
+    public void comesUp() throws IOException {
+        accept();
+        for (Socket one : line) {
+            one.close();
+        }
+    }
+
     @Override
     void ended(Socket peer) {
         if (gone != null) {
--- a/src/rig/java/reedspring/rig/JournalStandIn.java
+++ b/src/rig/java/reedspring/rig/JournalStandIn.java
@@ -17,7 +17,11 @@
     private final List<String> told = new ArrayList<>();
 
     public JournalStandIn() throws IOException {
-        super(0);
+        this(0);
+    }
+
+    public JournalStandIn(int port) throws IOException {
+        super(port);
     }
 
     @Override
--- a/src/rig/java/reedspring/rig/Program.java
+++ b/src/rig/java/reedspring/rig/Program.java
@@ -4,6 +4,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.OutputStream;
 import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -52,11 +53,57 @@
                 List.of("/bin/sh", "-c", "trap '' HUP; exec /bin/sh -c \"$0\"", run(Path.of("."))));
     }
 
+    /** Under a limit on descriptors that the system itself holds it to. */
+    public static Program withDescriptors(int most, String config) throws IOException {
+        return new Program(config, Path.of("."),
+                List.of("/bin/sh", "-c", "ulimit -n " + most + "; exec /bin/sh -c \"$0\"", run(Path.of("."))));
+    }
+
+    /**
+     * Whose configuration is a pipe: each time the program, or the shell before it, opens the file, it waits
+     * until {@link #configured} is called.
+     */
+    public static Program waiting(String listen) throws IOException, InterruptedException {
+        Path pipe = Files.createTempDirectory("reedspring").resolve("config");
+        Rig.require(new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor() == 0, "no pipe");
+        pipe.toFile().deleteOnExit();
+        return new Program(listen, pipe, Path.of("."), List.of("/bin/sh", "-c", run(Path.of("."))));
+    }
+
+    /** What the line that starts the program reads of it, before there is a program. */
+    public void configuredLine(String config) throws IOException, InterruptedException {
+        configured(config, () -> { });
+        Rig.await("the program itself", () -> process.info().command().orElse("").endsWith("java"));
+    }
+
+    /** Waits until the file is opened, lets {@code meanwhile} run, and gives it to be read if it still can. */
+    public void configured(String config, Server.Work meanwhile) throws IOException {
+        try (OutputStream out = Files.newOutputStream(file)) {
+            meanwhile.run();
+            if (process.isAlive()) {
+                out.write(config.getBytes(StandardCharsets.UTF_8));
+            }
+        }
+    }
+
     Program(String config, Path home, List<String> command) throws IOException {
-        this.listen = config.replaceAll(".*\"listen\":\"([^\"]*)\".*", "$1");
-        file = Files.createTempFile("reedspring", ".json");
+        this(config.replaceAll(".*\"listen\":\"([^\"]*)\".*", "$1"),
+                Files.createTempFile("reedspring", ".json"), home, command, config);
+    }
+
+    private Program(String listen, Path file, Path home, List<String> command, String config)
+            throws IOException {
+        this(listen, written(file, config), home, command);
+    }
+
+    private static Path written(Path file, String config) throws IOException {
         file.toFile().deleteOnExit();
-        Files.writeString(file, config);
+        return Files.writeString(file, config);
+    }
+
+    private Program(String listen, Path file, Path home, List<String> command) throws IOException {
+        this.listen = listen;
+        this.file = file;
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().put("RELAY_CONFIG", file.toString());
         builder.directory(home.toFile());
@@ -94,6 +141,12 @@
         signal("-HUP");
     }
 
+    /** From now on it may open no descriptor past this; what is open stays. */
+    public void descriptors(int most) throws IOException, InterruptedException {
+        Rig.require(new ProcessBuilder("prlimit", "--pid", Long.toString(process.pid()),
+                "--nofile=" + most + ":").start().waitFor() == 0, "no limit");
+    }
+
     public boolean logged(String text) {
         return log.stream().anyMatch(line -> line.contains(text));
     }
--- a/src/rig/java/reedspring/rig/Server.java
+++ b/src/rig/java/reedspring/rig/Server.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /** Accepts connections on a free port, each served by a thread of its own. */
-abstract class Server implements Closeable {
+public abstract class Server implements Closeable {
     final ServerSocket socket;
     public final List<Socket> accepted = new CopyOnWriteArrayList<>();
     /** Those that the other side has ended. */
@@ -18,7 +18,16 @@
     public volatile int mostConnections = Integer.MAX_VALUE;
 
     Server(int port) throws IOException {
-        socket = new ServerSocket(port, 64, InetAddress.getLoopbackAddress());
+        this(new ServerSocket(port, 64, InetAddress.getLoopbackAddress()));
+        accept();
+    }
+
+    /** One that accepts nothing yet. */
+    Server(ServerSocket socket) {
+        this.socket = socket;
+    }
+
+    final void accept() {
         background(() -> {
             while (true) {
                 Socket next = socket.accept();
@@ -41,7 +50,7 @@
         });
     }
 
-    interface Work {
+    public interface Work {
         void run() throws IOException;
     }
 
--- /dev/null
+++ b/src/test/java/reedspring/net/EndingsIT.java
@@ -0,0 +1,214 @@
+package reedspring.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static reedspring.rig.JournalStandIn.event;
+import static reedspring.rig.JournalStandIn.host;
+import static reedspring.rig.Rig.await;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import net.jqwik.api.Example;
+import reedspring.rig.Client;
+import reedspring.rig.EngineStandIn;
+import reedspring.rig.JournalStandIn;
+import reedspring.rig.Program;
+
+/**
+ * What ends at the instant in which something is still owed, or on its way: each crossing is forced by the other
+ * side. docs/endings.md has a row for each.
+ */
+class EndingsIT extends Started {
+    private static final byte[] HEARTBEAT = Client.pack(List.of(0, 99, "heartbeat", List.of(Map.of())));
+
+    /** One engine, with another text in place of some of the configuration's. */
+    private void startWithout(String part, String instead, EngineStandIn engine) throws Exception {
+        journal = open(new JournalStandIn());
+        String config = Program.config(Program.freeAddress(), journal.address(),
+                event(1, true, host("e0", engine.address(), "ready")));
+        assertTrue(config.contains(part));
+        front = open(new Program(config.replace(part, instead))).ready();
+    }
+
+    private static final String REPEATABLE = "\"effect\":\"repeatable\"";
+
+    private List<EngineStandIn.Command> held() {
+        return new CopyOnWriteArrayList<>();
+    }
+
+    private EngineStandIn holding(List<EngineStandIn.Command> held) throws IOException {
+        return open(new EngineStandIn(command -> {
+            if (command.word().equals("fetch")) {
+                held.add(command);
+            } else {
+                EngineStandIn.pages(7).accept(command);
+            }
+        }));
+    }
+
+    /** Its kernel takes little, so that most of an answer stays with the front until it is read. */
+    private Client narrow() throws IOException {
+        return open(new Client(Integer.parseInt(front.listen.substring(front.listen.indexOf(':') + 1)), 4_000_000));
+    }
+
+    private void stopped(Work meanwhile) throws Exception {
+        front.signal("-STOP");
+        try {
+            meanwhile.run();
+            Thread.sleep(300);
+        } finally {
+            front.signal("-CONT");
+        }
+    }
+
+    private interface Work {
+        void run() throws Exception;
+    }
+
+    // ---- a client's connection, ended by the front
+
+    /** A close at once drops what is not yet sent, and over unread bytes it resets what is on its way. */
+    @Example
+    void anAnswerThatIsStillUnreadOutlivesTheEndOfASpoiltConnection() throws Exception {
+        List<EngineStandIn.Command> held = held();
+        start(holding(held));
+        byte[] noise = new byte[150_000];
+        Arrays.fill(noise, (byte) 0xc1);
+        for (boolean twice : new boolean[] {true, false}) {
+            Client client = narrow();
+            String trace = Client.trace();
+            client.send(Client.query(1, trace, PATIENCE, "select"),
+                    Client.query(2, Client.trace(), PATIENCE, "open"));
+            await("both at the engine", () -> held.size() == 2);
+            EngineStandIn.pages(7).accept(held.stream().filter(c -> c.id().equals(trace)).findAny().orElseThrow());
+            // The end must come behind it, not ahead: the engine has sent all of it, and the front reads at once.
+            Thread.sleep(100);
+            client.send(twice ? Client.query(2, Client.trace(), PATIENCE, "number twice") : new byte[0], noise);
+            List<?> whole = client.read();
+            assertEquals(1L, whole.get(1));
+            assertEquals(7 * EngineStandIn.page(trace, 0).length(), Client.rows(whole).length());
+            if (twice) {
+                assertEquals("Fault", Client.error(client.read()));
+            }
+            assertTrue(client.socket.getInputStream().read() < 0, "an orderly end, no reset");
+            held.clear();
+        }
+    }
+
+    // ---- a client that goes
+
+    @Example
+    void whatAClientLeftBehindWhileTheLoopStoodStillIsNotSent() throws Exception {
+        EngineStandIn engine = engine(1);
+        start(engine);
+        serves();
+        Client goes = client().send(HEARTBEAT);
+        goes.read();
+        Client revokes = client().send(HEARTBEAT);
+        revokes.read();
+        int before = engine.seen("fetch").size();
+        stopped(() -> {
+            goes.send(Client.query(1, Client.trace(), PATIENCE, "gone"));
+            goes.close();
+            revokes.send(Client.query(1, Client.trace(), PATIENCE, "x".repeat(200_000)),
+                    Client.pack(List.of(2, "revoke", List.of(1))));
+        });
+        serves();
+        revokes.send(HEARTBEAT).read();
+        assertEquals(before + 1, engine.seen("fetch").size(), "begun for a client that had gone");
+    }
+
+    /** Nobody reads from the socket of a client that takes nothing: there its revoke and its close would lie. */
+    @Example
+    void aClientThatDoesNotReadIsHeardAllTheSame() throws Exception {
+        List<EngineStandIn.Command> held = held();
+        EngineStandIn engine = holding(held);
+        start(engine);
+        Client deaf = narrow();
+        for (int id = 1; id <= 6; id++) {
+            deaf.send(Client.query(id, Client.trace(), PATIENCE, "select"));
+        }
+        await("them at the engine", () -> held.size() == 6);
+        deaf.send(Client.query(7, Client.trace(), PATIENCE, "fails"), Client.query(8, Client.trace(), PATIENCE,
+                "fails, too"));
+        await("them at the engine", () -> held.size() == 8);
+        held.subList(0, 6).forEach(EngineStandIn.pages(7));
+        await("all pages asked for", () -> engine.seen("more").size() == 36);
+        Thread.sleep(100);
+        deaf.send(Client.pack(List.of(2, "revoke", List.of(7))));
+        Thread.sleep(150);
+        held.get(6).answer("failed", "-", "");
+        // The other still has its further submission.
+        held.get(7).answer("failed", "-", "");
+        await("a further one", () -> held.size() == 9);
+        deaf.socket.setSoLinger(true, 0);
+        deaf.close();
+        Thread.sleep(150);
+        held.get(8).answer("failed", "-", "");
+        // An answer of the front shows that it has read what the engine said.
+        client().send(HEARTBEAT).read();
+        assertEquals(1, held.stream().filter(c -> c.id().equals(held.get(6).id())).count(), "after its revoke");
+        assertEquals(2, held.stream().filter(c -> c.id().equals(held.get(7).id())).count(), "after its close");
+    }
+
+    /** It waits for a connection to its engine, its client goes, the connection comes up. */
+    @Example
+    void whatWaitsForALateConnectionIsNotSentOnceItsClientHasGone() throws Exception {
+        EngineStandIn late = open(EngineStandIn.late(EngineStandIn.pages(1)));
+        startWithout("\"connectTimeoutMs\":250.0", "\"connectTimeoutMs\":4000.0", late);
+        Client goes = client().send(Client.query(1, Client.trace(), PATIENCE, "gone"), HEARTBEAT);
+        goes.read();
+        Client stays = client().send(Client.query(1, Client.trace(), PATIENCE, "stays"), HEARTBEAT);
+        stays.read();
+        goes.close();
+        Thread.sleep(100);
+        late.comesUp();
+        assertNotEquals(null, Client.rows(stays.read()));
+        assertEquals(List.of("stays"), late.seen("fetch").stream().map(c -> c.words().get(3)).toList());
+    }
+
+    // ---- the journal's call
+
+    /** Clients fill their part for as long as discovery is down; the call to it must find a descriptor. */
+    @Example
+    void idleClientsLeaveDescriptorsForTheJournalAndForEngines() throws Exception {
+        int most = 160;
+        String journalAt = Program.freeAddress();
+        EngineStandIn engine = engine(1);
+        String config = Program.config(Program.freeAddress(), journalAt,
+                event(1, true, host("e0", engine.address(), "draining")));
+        front = open(Program.withDescriptors(most, config.replace("\"sockets\":1024", "\"sockets\":" + most)));
+        front.ready();
+        List<Client> idle = new ArrayList<>();
+        for (int k = 0; k < 2 * most; k++) {
+            Client client = client();
+            idle.add(client);
+            client.send(HEARTBEAT).read();
+        }
+        Path fd = Path.of("/proc", Long.toString(front.process.pid()), "fd");
+        try (var open = Files.list(fd)) {
+            long count = open.count();
+            assertTrue(count > most / 2 && count < most, count + " descriptors");
+        }
+        journal = open(new JournalStandIn(Integer.parseInt(journalAt.substring(journalAt.indexOf(':') + 1))));
+        await("the call", () -> !journal.calledFrom.isEmpty());
+        journal.send("id: 2\ndata: " + event(2, true, host("e1", engine.address(), "ready")) + "\n\n");
+        await("a query served", () -> {
+            try (Client fresh = front.client()) {
+                return Client.rows(fresh.send(Client.query(1, Client.trace(), PATIENCE, "select")).read()) != null;
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+        assertFalse(front.logged("Too many open files"), front.log::toString);
+    }
+}
