What a further submission must not meet: late copies, forgotten repeats, rested connections

- A second copy of an engine's last word passed for the end of the query's next submission on that connection (EngineConnection.over forgot the id): after `full` twice a mutating query was sent a third time while its second run was under way.
The id stays spent on that connection, so the next submission takes another.
- Repeats of tokened queries were held to their window at the moment of the decision (Control.mayRepeat), and a late connection let them arrive long after it: 1 s after the first run for a window of 0.9 s.
Control names a last moment with the submission, 20 ms before the window's end, and the way out (Front.depart) keeps to it.
- An engine's close of a resting connection that lay unread when the next query was sent made that query's end unclear, and a mutating one was killed.
The socket is looked at before a rested connection is used again; what was not written goes by another.
A connection that never carried anything is not tried again, so an engine that closes each one is unreachable as before.
- Without a descriptor Netty gives a channel that was never registered and tells so on a thread of its own.
Both are handled on the loop now.

--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -79,6 +79,8 @@
 
     private static final long PULSE = 25 * MS;
     private static final long LAST_CALL = 60 * MS;
+    // From a submission's departure until its engine has it, at the most.
+    private static final long ARRIVAL = 20 * MS;
     private static final Id.Timer PULSE_TIMER = new Id.Timer(1);
 
     private final Deployment house;
@@ -301,7 +303,7 @@
                     && q.work / q.threads < house.groups().get(q.group).targetBase() / 2.0) {
                 out.accept(new Action.SetPriority(q.id, 2));
             }
-            out.accept(new Action.Submit(q.id, id, 0));
+            out.accept(new Action.Submit(q.id, id, 0, desk.departBy(q)));
         }
 
         private void ended(Query q, Event.Closed closed) {
@@ -913,8 +915,7 @@
         private boolean mayRepeat(Query q, boolean asTrial) {
             Deployment.ResourceGroup group = house.groups().get(q.group);
             if (group.effect() == Effect.MUTATING && (asTrial || q.ranAt >= 0)
-                    || group.effect() == Effect.TOKENED && q.ranAt >= 0
-                    && now - q.ranSince >= group.recognisedFor()) {
+                    || now >= departBy(q)) {
                 return false;
             }
             Deployment.Ration ration = house.ration();
@@ -933,6 +934,13 @@
 
         /** Bad plans: what a fresh start would end far sooner than the rest of this run starts afresh. */
         private void progress(Query q, Event.ShareDone note) {
+        /** A repeat counts when it arrives: a late connection or a stop of the loop may come between. */
+        private long departBy(Query q) {
+            Deployment.ResourceGroup group = house.groups().get(q.group);
+            return group.effect() == Effect.TOKENED && q.ranAt >= 0
+                    ? q.ranSince + group.recognisedFor() - ARRIVAL : Long.MAX_VALUE;
+        }
+
             // Answers tell of an overload only once it has passed; notes of runs tell while it lasts.
             double share = note.share();
             long since = now - q.notedAt;
--- a/src/main/java/reedspring/api/Action.java
+++ b/src/main/java/reedspring/api/Action.java
@@ -2,8 +2,11 @@
 
 /** What a front asks for. Times and spans are whole tenths of a millisecond. */
 public sealed interface Action {
-    /** {@code timeout} 0: until the client leaves. */
-    record Submit(Id.Query query, Id.Engine engine, long timeout) implements Action {
+    /**
+     * {@code timeout} 0: until the client leaves. Past {@code departBy} it must not begin any more, whatever held
+     * it up on its way out: {@code Long.MAX_VALUE} where nothing but the timeout bounds that.
+     */
+    record Submit(Id.Query query, Id.Engine engine, long timeout, long departBy) implements Action {
     }
 
     /** Holds for later submissions and, at once, for those that are out; 0 to 3, 1 is usual. */
--- a/src/main/java/reedspring/net/EngineConnection.java
+++ b/src/main/java/reedspring/net/EngineConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
@@ -51,6 +52,7 @@
     private long partBytes;
     private int partTicks;
     private boolean up;
+    private boolean rested;
     private boolean retired;
     private String lost = "closed by the engine";
     private long lastUsedAt;
@@ -83,9 +85,9 @@
         // this process, and an engine that took the connection in time would count as unreachable.
         Timers.Due tooLate = front.timers().in(limits.connectTimeout * 10L, () -> {
             lost = "no connection in " + limits.connectTimeout + " ms";
-            channel.close();
+            Front.close(channel);
         });
-        dialled.addListener(done -> {
+        front.dialled(dialled, done -> {
             front.timers().cancel(tooLate);
             if (done.isSuccess()) {
                 up = true;
@@ -146,6 +148,29 @@
         return !retired && engineUp.getAsBoolean();
     }
 
+    /**
+     * Whether it still stands, by what lies in its socket now. Engines close what rests, some of them early; a
+     * submission that is written after that has an unclear end, and a mutating query can't be sent again then.
+     * One that has carried nothing yet is no resting one: an engine that closes each new connection is
+     * unreachable.
+     */
+    boolean there() {
+        if (open.size() > 1 || !rested) {
+            return true;
+        }
+        if (channel.isActive() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe reader) {
+            reader.read();
+        }
+        retired |= !channel.isOpen();
+        return channel.isOpen();
+    }
+
+    /** It goes by another connection. */
+    void release(Submission s) {
+        open.remove(s.query.trace, s);
+        s.connection = null;
+    }
+
     /** Writes it out at once: what waits for others could stand here while the process is stopped. */
     void depart(Submission s) {
         OpenQuery q = s.query;
@@ -154,6 +179,7 @@
             return;
         }
         lastUsedAt = front.clock().now();
+        rested = true;
         s.sentAt = lastUsedAt;
         s.written = true;
         long left = Math.max(1, (s.timeoutAt - lastUsedAt) / 10);
@@ -238,7 +264,7 @@
     private void close() {
         retired = true;
         if (channel != null) {
-            channel.close();
+            Front.close(channel);
         }
     }
 
@@ -299,8 +325,10 @@
     private void over(Submission s, Outcome outcome) {
         if (s != null) {
             if (s.pages == null) {
-                // The engine's last word: nothing more comes.
+                // The engine's last word, but perhaps not the only copy of it. A second one would pass for the
+                // end of the query's next submission, and prove that what runs never ran.
                 open.remove(s.query.trace, s);
+                keepLatest(spent, s.query.trace);
             }
             front.closed(s, outcome);
         }
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -1,5 +1,7 @@
 package reedspring.net;
 
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -9,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
 import reedspring.Control;
@@ -100,6 +103,35 @@
     }
 
     /** Whether it can decide and means to stay. */
+    EventLoop loop() {
+        return loop;
+    }
+
+    /**
+     * What follows from a dial, on the loop: without a descriptor there is no channel, and Netty tells so on a
+     * thread of its own, with a channel that was never opened and so is never closed either.
+     */
+    void dialled(ChannelFuture dialled, Consumer<ChannelFuture> then) {
+        dialled.addListener(done -> {
+            if (loop.inEventLoop()) {
+                then.accept(dialled);
+            } else {
+                loop.execute(() -> then.accept(dialled));
+            }
+        });
+    }
+
+    /** One that never came to be has no loop, and fails at its close. */
+    static void close(Channel channel) {
+        if (channel.isRegistered()) {
+            channel.close();
+        }
+    }
+
+    boolean leaves() {
+        return leaving;
+    }
+
     boolean able() {
         return listed && !leaving;
     }
@@ -419,7 +451,7 @@
         }
         long now = clock.now();
         long timeoutAt = submit.timeout() > 0 ? Math.min(q.leavesAt, now + submit.timeout()) : q.leavesAt;
-        Submission s = new Submission(q, now, timeoutAt);
+        Submission s = new Submission(q, now, timeoutAt, submit.departBy());
         q.out = s;
         s.end = timers.at(timeoutAt, () -> closed(s, Outcome.TIMED_OUT));
         engines.send(submit.engine(), s);
@@ -455,6 +487,18 @@
             }
         }
         if (q.answered) {
+            if (clock.now() > s.departBy) {
+                log.line("submission withheld, its repeat would no longer be recognised", s.query.trace);
+                closed(s, Outcome.WITHHELD);
+                continue;
+            }
+            if (!s.connection.there()) {
+                // Closed by its engine while it rested. Nothing of this was written, so it takes another.
+                Id.Engine engine = new Id.Engine(s.connection.engine());
+                s.connection.release(s);
+                engines.send(engine, s);
+                continue;
+            }
             // Its client left after the event that is being decided; without an end its threads would count
             // as out for good.
             closed(s, Outcome.NOT_SENT);
--- a/src/main/java/reedspring/net/Journal.java
+++ b/src/main/java/reedspring/net/Journal.java
@@ -48,6 +48,7 @@
     private long position;
     private long wait;
     private Channel channel;
+    private Channel calledAgain;
     private long heardAt;
     private boolean gapSeen;
     private boolean reading;
@@ -59,7 +60,7 @@
         this.chance = new SplittableRandom(seed);
         this.wait = limits.journalFirstWait;
         this.dialer = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.journalConnect);
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0);
     }
 
     /** Reads what lies in the socket now, ahead of the selector's turn. Not while that is being done. */
@@ -116,7 +117,10 @@
         channel = dialled.channel();
         Channel called = channel;
         called.closeFuture().addListener(closed -> again(called));
-        dialled.addListener(done -> {
+        // Among the front's own alarms, as for engines: a stop of this process is no silence of the service.
+        Timers.Due tooLate = front.timers().in(limits.journalConnect * 10L, () -> Front.close(called));
+        front.dialled(dialled, done -> {
+            front.timers().cancel(tooLate);
             if (done.isSuccess()) {
                 DefaultFullHttpRequest get =
                         new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/journal");
@@ -127,11 +131,12 @@
                 called.writeAndFlush(get);
             } else {
                 front.log().line("journal unreachable", String.valueOf(done.cause().getMessage()));
+                again(called);
             }
         });
         watch(called);
         if (before != null) {
-            before.close();
+            Front.close(before);
         }
     }
 
@@ -151,9 +156,10 @@
     }
 
     private void again(Channel ended) {
-        if (ended != channel) {
+        if (ended != channel || ended == calledAgain) {
             return;
         }
+        calledAgain = ended;
         // Half of the wait is chance, so that fronts which lost it together don't come back together.
         long tenths = wait * 5 + chance.nextLong(wait * 5 + 1);
         wait = Math.min(limits.journalLongestWait, wait * 2);
--- a/src/main/java/reedspring/net/Submission.java
+++ b/src/main/java/reedspring/net/Submission.java
@@ -10,7 +10,9 @@
     final OpenQuery query;
     final Id.Submission number;
     long sentAt;
-    final long timeoutAt;
+    long timeoutAt;
+    /** Past this it may not begin any more. */
+    final long departBy;
     EngineConnection connection;
     Timers.Due end;
     boolean written;
@@ -29,11 +31,12 @@
     long unseen;
     long work;
 
-    Submission(OpenQuery query, long sentAt, long timeoutAt) {
+    Submission(OpenQuery query, long sentAt, long timeoutAt, long departBy) {
         this.query = query;
         this.number = new Id.Submission(query.submissions++);
         this.sentAt = sentAt;
         this.timeoutAt = timeoutAt;
+        this.departBy = departBy;
     }
 
     void release() {
--- a/src/test/java/reedspring/net/EndingsIT.java
+++ b/src/test/java/reedspring/net/EndingsIT.java
@@ -10,6 +10,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -176,6 +177,82 @@
         assertEquals(List.of("stays"), late.seen("fetch").stream().map(c -> c.words().get(3)).toList());
     }
 
+    // ---- submissions
+
+    /** The copy of a 'full' proves nothing of the run that has begun meanwhile. */
+    @Example
+    void aSecondCopyOfAnAnswerEndsNoLaterSubmission() throws Exception {
+        List<EngineStandIn.Command> fetches = held();
+        EngineStandIn engine = open(new EngineStandIn(command -> {
+            if (!command.word().equals("fetch")) {
+                return;
+            }
+            fetches.add(command);
+            if (fetches.size() == 1) {
+                command.answer("full", "-", "");
+            } else {
+                fetches.get(0).answer("full", "-", "");
+            }
+        }));
+        startWithout(REPEATABLE, "\"effect\":\"once\"", engine);
+        Client client = client();
+        String trace = Client.trace();
+        client.send(Client.query(1, trace, PATIENCE, "insert"));
+        await("the second submission", () -> fetches.size() >= 2);
+        Thread.sleep(300);
+        assertEquals(2, fetches.size(), "a mutating query was sent while it ran");
+        EngineStandIn.pages(1).accept(fetches.get(1));
+        assertEquals(EngineStandIn.page(trace, 0), Client.rows(client.read()));
+    }
+
+    /** The engine's forgetting counts from the first run to the arrival of the next, late connections and all. */
+    @Example
+    void aRepeatIsNotSentOnceItWouldNoLongerBeRecognised() throws Exception {
+        List<EngineStandIn.Command> held = held();
+        EngineStandIn first = holding(held);
+        EngineStandIn late = open(EngineStandIn.late(EngineStandIn.pages(1)));
+        journal = open(new JournalStandIn());
+        String config = Program.config(Program.freeAddress(), journal.address(),
+                event(1, true, host("e0", first.address(), "ready")));
+        front = open(new Program(config.replace(REPEATABLE,
+                "\"effect\":\"by_key\",\"group\":\"all\",\"windowMs\":900.0").replace(
+                        "\"connectTimeoutMs\":250.0", "\"connectTimeoutMs\":4000.0"))).ready();
+        Client client = client().send(Client.query(1, Client.trace(), PATIENCE, "insert"));
+        await("the first run", () -> held.size() == 1);
+        await("the journal's call", () -> !journal.calledFrom.isEmpty());
+        journal.send("id: 2\ndata: " + event(2, true, host("e1", late.address(), "ready")) + "\n\n");
+        client.send(HEARTBEAT).read();
+        Thread.sleep(100);
+        held.get(0).answer("failed", "-", "");
+        Thread.sleep(200);
+        late.comesUp();
+        assertEquals("Shed", Client.error(client.read()));
+        assertTrue(late.seen("fetch").isEmpty(), "sent on after its repeats were forgotten");
+        assertTrue(front.logged("would no longer be recognised"), front.log::toString);
+    }
+
+    /** An engine's close of a resting connection lies unread when the next query for it is decided. */
+    @Example
+    void aConnectionThatItsEngineClosedWhileItRestedCarriesNothing() throws Exception {
+        EngineStandIn engine = engine(1);
+        startWithout(REPEATABLE, "\"effect\":\"once\"", engine);
+        Client client = client();
+        for (int id = 1; id <= 5; id++) {
+            assertNotEquals(null, Client.rows(client.send(Client.query(id, Client.trace(), PATIENCE, "insert"))
+                    .read()));
+            int next = id;
+            stopped(() -> {
+                client.send(Client.query(100 + next, Client.trace(), PATIENCE, "insert"));
+                Thread.sleep(20);
+                for (Socket resting : engine.accepted) {
+                    resting.close();
+                }
+            });
+            assertNotEquals(null, Client.rows(client.read()), "a mutating query with an unclear end");
+        }
+        assertEquals(10, engine.seen("fetch").size());
+    }
+
     // ---- the journal's call
 
     /** Clients fill their part for as long as discovery is down; the call to it must find a descriptor. */
@@ -211,4 +288,41 @@
         });
         assertFalse(front.logged("Too many open files"), front.log::toString);
     }
+
+    /** Where no descriptor is left all the same, there is no channel, and Netty tells so on another thread. */
+    @Example
+    void aCallThatFoundNoDescriptorIsMadeAgainAndAQueryIsDecidedAnew() throws Exception {
+        start(engine(1));
+        await("the call", () -> journal.calledFrom.size() == 1);
+        Client client = client().send(HEARTBEAT);
+        client.read();
+        front.descriptors(10);
+        journal.reset();
+        await("a call that fails", () -> front.logged("journal unreachable"));
+        List<?> answer = client.send(Client.query(1, Client.trace(), 1_500, "select")).read();
+        assertEquals("Shed", Client.error(answer), () -> "nothing ran: " + front.log);
+        front.descriptors(1024);
+        await("the next call", () -> journal.calledFrom.size() == 2);
+        await("a query served", () -> {
+            try {
+                serves();
+                return true;
+            } catch (IOException | AssertionError e) {
+                return false;
+            }
+        });
+        assertFalse(front.logged("fault") || front.logged("failed:"), front.log::toString);
+    }
+
+    /** A drain that is told when discovery is back counts from then on: no call may hang for long. */
+    @Example
+    void callsThatAreSilentOrRefusedAreMadeAgainSoon() throws Exception {
+        start(engine(1));
+        await("the call", () -> journal.calledFrom.size() == 1);
+        await("three more, each after a silence", () -> journal.calledAt.size() >= 4);
+        for (int k = 1; k < 4; k++) {
+            long gap = (journal.calledAt.get(k) - journal.calledAt.get(k - 1)) / 1_000_000;
+            assertTrue(gap < 2_500, "silent for " + gap + " ms before the next call");
+        }
+    }
 }
--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -367,7 +367,7 @@
             Front made = new Front(loop, turns, boot, limits, new Log(limits, null), 1);
             OpenQuery q = new OpenQuery(new Id.Query(1), 1, null, Client.trace(), "lookup",
                     Unpooled.EMPTY_BUFFER, made.clock().now() + 50_000);
-            Submission s = new Submission(q, made.clock().now(), q.leavesAt);
+            Submission s = new Submission(q, made.clock().now(), q.leavesAt, Long.MAX_VALUE);
             EngineConnection connection = new EngineConnection(made, limits, new Rows(limits.pageBytes),
                     "e0", () -> true, ended -> { });
             connection.send(s);
