A front that ends: safe retries offered, last answers read, reloads during the start kept

- At its end the front killed all that was open, also what only waited and what may be run again anywhere.
It tells the decisions when it leaves (Event.Leaving); what waits is answered in time, and what is out times out early enough to be deferred where that is safe, and killed where it is not.
Before: `Fault` for a read-only query on an engine that hangs, with a patience of 30 s.
- The process halted with its sockets open and its listener never closed.
Now it looks once more into resting connections, closes the listener, shuts each connection and waits for its client to end its side, 0.3 s at most, or longer while an answer is being read; its end comes 0.1 s before SIGKILL at the latest, as before.
- SIGHUP between the reading of the file and the end of the start was lost, as if the file had just been read; it is made up for.
Both signals' handlers stand before all else, so that a SIGTERM during the start ends it with 0.
- A second SIGTERM changes nothing (tested).

Tests: the configuration in a pipe holds the start at the moment of the signal. House ends submissions of queries that are answered or left at their time-out, as sockets do, and holds Control to the end of the front.

--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -557,6 +557,8 @@
                 }
             } else if (event instanceof Event.StreamBegan began) {
                 queries.getOrDefault(began.query(), new Query()).streaming = true;
+            } else if (event instanceof Event.Leaving leaving) {
+                queries.values().forEach(q -> q.leavesAt = Math.min(q.leavesAt, leaving.by()));
             } else if (event instanceof Event.ListUnavailable) {
                 askAgainAt = now + Math.min(SECOND / 2, house.discovery().askWithin() / 4);
             } else if (event instanceof Event.Woken woken && woken.timer().equals(PULSE_TIMER)) {
--- a/src/main/java/reedspring/api/Event.java
+++ b/src/main/java/reedspring/api/Event.java
@@ -49,6 +49,10 @@
     record LoadReported(Id.Engine engine, Load load) implements Event {
     }
 
+    /** The front ends: all that it has taken is answered by then, and so is what it still takes. */
+    record Leaving(long by) implements Event {
+    }
+
     record Woken(Id.Timer timer) implements Event {
     }
 
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -45,6 +45,7 @@
     private final ArrayDeque<Submission> departures = new ArrayDeque<>();
     private final EventLoop loop;
     private Runnable source = () -> { };
+    private Runnable ending = () -> { };
     private KeptAnswers kept;
     private long newsAt;
     private final Map<Id.Query, OpenQuery> queries = new LinkedHashMap<>();
@@ -601,35 +602,70 @@
      * taken, and tells when nothing is left.
      */
     void leave(Runnable left) {
+        if (leaving) {
+            return;
+        }
         leaving = true;
-        stayUntil = clock.now() + limits.leavingLongest * 10L;
+        long now = clock.now();
+        stayUntil = now + limits.leavingLongest * 10L;
         log.once("leaving,", queries.size() + " queries open");
-        leaveLater(clock.now(), left);
+        // The decisions answer what waits, and what is out ends in time for them to answer that, too: whether a
+        // retry is safe is theirs to say.
+        on(new Event.Leaving(stayUntil));
+        for (OpenQuery q : List.copyOf(queries.values())) {
+            q.leavesAt = Math.min(q.leavesAt, stayUntil);
+            timers.cancel(q.end);
+            q.end = timers.at(q.leavesAt + limits.lastResort * 10L, () -> overdue(q));
+            if (q.out != null) {
+                Submission s = q.out;
+                timers.cancel(s.end);
+                s.timeoutAt = Math.min(s.timeoutAt, stayUntil);
+                s.end = timers.at(s.timeoutAt, () -> closed(s, Outcome.TIMED_OUT));
+            }
+        }
+        leaveLater(now, left);
     }
 
     private void leaveLater(long since, Runnable left) {
         long gone = clock.now() - since;
-        boolean last = clock.now() >= stayUntil;
-        if (last) {
-            for (OpenQuery q : new ArrayList<>(queries.values())) {
-                if (!q.answered) {
-                    q.answered = true;
-                    q.client.kill(q, "the front ends");
-                    on(new Event.Left(q.id));
-                    forget(q);
-                }
-            }
+        if (gone < limits.leavingQuiet * 10L || !allAnswered() && gone < limits.leavingLongest * 10L
+                + limits.lastResort * 20L) {
+            timers.in(100, () -> leaveLater(since, left));
+            return;
+        }
+        // Nothing can come any more but on connections that rest here. What lies unread there is still taken.
+        Stream.concat(newcomers.stream(), clients.stream()).toList().forEach(ClientConnection::there);
+        if (!allAnswered() && gone < limits.leavingLongest * 10L) {
+            timers.in(100, () -> leaveLater(since, left));
+            return;
         }
-        // What was answered in this turn is written only after it: the last answers need a look of their own.
-        boolean done = queries.values().stream().allMatch(q -> q.answered)
-                && (Stream.concat(newcomers.stream(), clients.stream()).noneMatch(ClientConnection::unsent)
-                        || gone >= (limits.leavingLongest + limits.leavingFlush) * 10L);
-        if (gone >= limits.leavingQuiet * 10L && done) {
+        ending.run();
+        Stream.concat(newcomers.stream(), clients.stream()).toList().forEach(ClientConnection::shut);
+        lingerOn(clock.now(), since + (limits.leavingLongest + limits.leavingFlush) * 10L, left);
+    }
+
+    private boolean allAnswered() {
+        return queries.values().stream().allMatch(q -> q.answered);
+    }
+
+    /**
+     * Until each client has read its last answer, for as long as there is time, and has ended its side, for a
+     * moment: not all do.
+     */
+    private void lingerOn(long since, long until, Runnable left) {
+        long now = clock.now();
+        if (lingering.isEmpty() || now >= until || now >= since + limits.leavingFlush * 10L
+                && lingering.stream().noneMatch(ClientConnection::unsent)) {
             log.once("left", "");
             log.sum();
             left.run();
         } else {
-            timers.in(100, () -> leaveLater(since, left));
+            timers.in(20, () -> lingerOn(since, until, left));
         }
     }
+
+    /** What has to be closed with the last connections: the listener. */
+    void atTheEnd(Runnable what) {
+        ending = what;
+    }
 }
--- a/src/main/java/reedspring/net/Limits.java
+++ b/src/main/java/reedspring/net/Limits.java
@@ -90,8 +90,8 @@
     // which counts as 3 s where it is longer.
     final int leavingQuiet = 800;
     final int leavingLongest;
-    /** What clients may take after that to read their last answers. */
-    final int leavingFlush = 200;
+    /** What clients may take after that to read their last answers and to end their side. */
+    final int leavingFlush = 300;
 
     /** Between two looks at all connections. */
     final int tick = 250;
@@ -119,7 +119,7 @@
         engineIdle = (int) (boot.number("allowed.idleCloseMs", 30_000) * 0.8);
         double longest = boot.longestTimeout();
         longestPatience = longest > 0 ? 2 * longest : 1e9;
-        leavingLongest = (int) (longest > 0 ? Math.min(longest, 3_000) : 3_000) + 400;
+        leavingLongest = (int) (longest > 0 ? Math.min(longest, 3_000) : 3_000) + 300;
         Deployment.Allowed allowed = boot.deployment().allowed();
         comeBack = allowed.comeBack() ? (int) (allowed.longestComeBack() / 10) : 0;
     }
--- a/src/main/java/reedspring/net/OpenQuery.java
+++ b/src/main/java/reedspring/net/OpenQuery.java
@@ -12,7 +12,7 @@
     final String trace;
     final String group;
     final ByteBuf statement;
-    final long leavesAt;
+    long leavesAt;
     Event.Taken taken;
     /** Whether its client takes pages, and what the spool has to know of it then. */
     boolean paged;
--- a/src/main/java/reedspring/net/Startup.java
+++ b/src/main/java/reedspring/net/Startup.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.tinylog.provider.ProviderRegistry;
 import reedspring.boot.Boot;
@@ -93,21 +94,22 @@
 
     private static int serve(Map<String, String> environment, Additions additions)
             throws InterruptedException {
-        Turns turns = new Turns();
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, turns);
-        EventLoop loop = group.next();
         AtomicReference<Front> raised = new AtomicReference<>();
-        AtomicReference<Journal> journal = new AtomicReference<>();
         String path = environment.get("RELAY_CONFIG");
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(loop, raised.get())));
+        // Both before all else: a signal that comes during the start would end the process, or be lost.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(raised.get())));
         // The JVM would end on SIGHUP. It hands a signal to a thread of its own, several one after another.
         // Started with SIGHUP ignored, as nohup does it, it leaves that so, and no reload would be heard.
-        boolean deaf = Signal.handle(new Signal("HUP"),
-                signal -> reload(loop, raised.get(), journal.get(), path)) == SignalHandler.SIG_IGN;
+        Reloads reloads = new Reloads();
+        boolean deaf = Signal.handle(new Signal("HUP"), signal -> reloads.wanted()) == SignalHandler.SIG_IGN;
+        Turns turns = new Turns();
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, turns);
+        EventLoop loop = group.next();
         try {
             Orders orders = Orders.read(path);
-            journal.set(loop.submit(() -> raise(loop, turns, orders, additions, raised)).get());
+            Journal journal = loop.submit(() -> raise(loop, turns, orders, additions, raised)).get();
             Front front = raised.get();
+            reloads.by(() -> reload(loop, front, journal, path));
             ChannelFuture bound = server(group, front, orders.limits()).bind(orders.listen());
             if (!bound.awaitUninterruptibly().isSuccess()) {
                 System.err.println("reedspring: listen: " + bound.cause().getMessage());
@@ -117,7 +119,12 @@
                 front.log().line("SIGHUP is ignored by what started the front, no reload is heard", "");
             }
             front.log().once("front " + orders.name() + " serves on", orders.listen().toString());
+            loop.execute(() -> front.atTheEnd(bound.channel()::close));
             bound.channel().closeFuture().sync();
+            if (front.leaves()) {
+                // The hook that takes it down ends the process, once the last answers are read.
+                new CountDownLatch(1).await();
+            }
             return UNAVAILABLE;
         } catch (BootException e) {
             System.err.println("reedspring: configuration: " + e.getMessage());
@@ -130,6 +137,30 @@
         }
     }
 
+    /** One that is wanted before the front is up is made up for: the file may have been read just before. */
+    private static final class Reloads {
+        private final AtomicBoolean wanted = new AtomicBoolean();
+        private volatile Runnable reload = () -> { };
+
+        void wanted() {
+            wanted.set(true);
+            run();
+        }
+
+        void by(Runnable what) {
+            reload = () -> {
+                if (wanted.getAndSet(false)) {
+                    what.run();
+                }
+            };
+            run();
+        }
+
+        private void run() {
+            reload.run();
+        }
+    }
+
     private static Journal raise(EventLoop loop, Turns turns, Orders orders, Additions additions,
                                  AtomicReference<Front> raised) throws BootException {
         Log log = new Log(orders.limits(), additions == null ? null : additions.jsonLines());
@@ -150,10 +181,6 @@
      * rest is what its decisions and limits were made from. A file that can't be used changes nothing.
      */
     private static void reload(EventLoop loop, Front front, Journal journal, String path) {
-        if (journal == null) {
-            // Not up yet: the file is read at the start, or has just been read.
-            return;
-        }
         try {
             InetSocketAddress service = Orders.read(path).journal();
             loop.execute(() -> {
@@ -170,13 +197,13 @@
     }
 
     /** Runs as a shutdown hook, on SIGTERM: holds the end up until the front has left, and makes it a 0. */
-    private static void leave(EventLoop loop, Front front) {
+    private static void leave(Front front) {
         if (front == null) {
             // Nothing has been taken yet.
             Runtime.getRuntime().halt(0);
         }
         CountDownLatch left = new CountDownLatch(1);
-        loop.execute(() -> front.leave(left::countDown));
+        front.loop().execute(() -> front.leave(left::countDown));
         try {
             left.await();
             if (front.kept() != null && !front.kept().close(SPOOL_CLOSING_MS)) {
--- a/src/test/java/reedspring/ControlTest.java
+++ b/src/test/java/reedspring/ControlTest.java
@@ -74,7 +74,33 @@
                 }
             }
         }
+        if (seed % 2 == 0) {
+            house.leaving(house.now + 3 * SECOND);
+            for (int step = 0; step < 40; step++) {
+                house.pass(1 + chance.nextInt(1_000));
+                house.take(chance.nextInt(4), 0, 100 + chance.nextInt(20_000), 10 + chance.nextInt(40_000),
+                        chance.nextInt(3) == 0 ? null : new Id.OrderKey("k" + chance.nextInt(3)));
+            }
+        }
         house.pass(20 * SECOND);
+        assertEquals(List.of(), new ArrayList<>(house.held.values()), "something is held for good");
+    }
+
+    /** A client of 30 s and a process of 3 s more: a retry is offered wherever it is safe, in time. */
+    @Example
+    void aFrontThatEndsAnswersWhatWaitsAndWhatHangs() {
+        House house = calm(1, House.deployment(false, false, null, House.SHORT,
+                House.group(10_000, 1, 1, Effect.MUTATING)));
+        for (int k = 0; k < 60; k++) {
+            house.take(k % 2, 0, 2_000, 30 * SECOND, null);
+        }
+        house.pass(SECOND / 2);
+        long by = house.now + 3 * SECOND;
+        house.leaving(by);
+        house.pass(3 * SECOND - 1);
+        assertTrue(house.held.values().stream().allMatch(q -> q.out != null), "what waits is answered before");
+        house.pass(1_000);
+        assertTrue(house.held.isEmpty(), house.held::toString);
     }
 
     private static void disturb(House house, SplittableRandom chance, int fleet, long seed) {
--- a/src/test/java/reedspring/House.java
+++ b/src/test/java/reedspring/House.java
@@ -46,6 +46,8 @@
     long now = 1_000_000;
     /** How much earlier the next ends may have come than they were seen. */
     long unseen;
+    /** By when all has to be answered, as the front ends. */
+    private long leavesBy = Long.MAX_VALUE;
     private long ids;
     private long unaskedSince = Long.MAX_VALUE;
 
@@ -74,6 +76,7 @@
 
     void start(long seed) {
         held.clear();
+        leavesBy = Long.MAX_VALUE;
         timers.clear();
         restUntil.clear();
         taken.clear();
@@ -130,13 +133,20 @@
         Held q = new Held();
         q.taken = new Event.Taken(new Id.Query(++ids), new Id.Group(group),
                 tenant < 0 ? Id.Tenant.NOBODY : new Id.Tenant(tenant), new Id.DataSet(ids % 7), estimate,
-                estimate / 100.0, now + stays, key);
+                estimate / 100.0, Math.min(now + stays, leavesBy), key);
         held.put(q.taken.query(), q);
         taken.add(now);
         on(q.taken);
         return q;
     }
 
+    /** The front itself ends: submissions that are out end with it, as its sockets' side sees to. */
+    void leaving(long by) {
+        leavesBy = by;
+        held.values().forEach(q -> q.timeoutAt = Math.min(q.timeoutAt, by));
+        on(new Event.Leaving(by));
+    }
+
     void leave(Held q) {
         q.left = true;
         on(new Event.Left(q.taken.query()));
@@ -176,7 +186,7 @@
                 next = Math.min(next, timer[0]);
             }
             for (Held q : held.values()) {
-                if (q.out != null && !q.answered && !q.left) {
+                if (q.out != null) {
                     next = Math.min(next, q.timeoutAt);
                 }
             }
@@ -188,10 +198,10 @@
                 }
             }
             for (Held q : List.copyOf(held.values())) {
-                if (q.out != null && now >= q.timeoutAt && !q.answered && !q.left) {
+                if (q.out != null && now >= q.timeoutAt) {
                     end(q, Outcome.TIMED_OUT);
                 }
-                if (!q.answered && !q.left && now > q.taken.leavesAt() + GRACE) {
+                if (!q.answered && !q.left && now > Math.min(q.taken.leavesAt(), leavesBy) + GRACE) {
                     throw new AssertionError("no final answer in time for " + q.taken);
                 }
             }
@@ -254,6 +264,8 @@
             require(group.recognised() == Recognised.ALL || group.recognised() == Recognised.ZONE
                     && ran.zone().equals(to.zone()) || ran.cell().equals(to.cell()), "outside its group", q);
             require(now - q.ranSince <= group.recognisedFor(), "after its repeats were forgotten", q);
+            require(submit.departBy() < q.ranSince + group.recognisedFor(),
+                    "it may arrive after its repeats are forgotten", q);
         }
         if (group.ordered() && q.taken.key() != null) {
             for (Held other : held.values()) {
@@ -285,8 +297,8 @@
         q.submissions++;
         q.out = submit.engine();
         q.sentAt = now;
-        q.timeoutAt = submit.timeout() > 0 ? Math.min(q.taken.leavesAt(), now + submit.timeout())
-                : q.taken.leavesAt();
+        q.timeoutAt = Math.min(leavesBy, submit.timeout() > 0
+                ? Math.min(q.taken.leavesAt(), now + submit.timeout()) : q.taken.leavesAt());
     }
 
     private Deployment.ResourceGroup group(Held q) {
--- a/src/test/java/reedspring/net/EndingsIT.java
+++ b/src/test/java/reedspring/net/EndingsIT.java
@@ -17,7 +17,9 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
 import reedspring.rig.Client;
 import reedspring.rig.EngineStandIn;
@@ -105,6 +107,42 @@
         }
     }
 
+    /** A query that crosses the end of a resting connection is read by nobody, and its client can tell. */
+    @Example
+    void aQueryThatCrossesTheEndOfARestingConnectionIsNotSentOn() throws Exception {
+        EngineStandIn engine = engine(1);
+        start(engine);
+        Client rests = client().send(HEARTBEAT);
+        rests.read();
+        Client silent = client();
+        assertTrue(silent.socket.getInputStream().read() < 0, "nothing of use came, and the front ends it");
+        silent.send(Client.query(1, Client.trace(), PATIENCE, "crosses"), HEARTBEAT);
+        front.signal("-TERM");
+        assertTrue(rests.socket.getInputStream().read() < 0, "an orderly end");
+        assertTrue(front.process.isAlive(), "it waits for its clients to end their side");
+        rests.send(Client.query(1, Client.trace(), PATIENCE, "crosses"), HEARTBEAT);
+        assertTrue(front.process.waitFor(5, TimeUnit.SECONDS));
+        assertEquals(0, front.process.exitValue());
+        assertTrue(engine.seen("fetch").isEmpty(), "read after the shutdown and sent on");
+    }
+
+    /** What was sent before the front shut its side is taken, however long it lay unread. */
+    @Example
+    void aQueryThatLiesUnreadOnARestingConnectionIsAnsweredBeforeItEnds() throws Exception {
+        start(engine(1));
+        Client rests = client().send(HEARTBEAT);
+        rests.read();
+        front.signal("-TERM");
+        await("its leaving", () -> front.logged("leaving"));
+        String trace = Client.trace();
+        front.signal("-STOP");
+        rests.send(Client.query(1, trace, PATIENCE, "select"));
+        Thread.sleep(1_200);
+        front.signal("-CONT");
+        assertEquals(EngineStandIn.page(trace, 0), Client.rows(rests.read()));
+        assertTrue(rests.socket.getInputStream().read() < 0);
+    }
+
     // ---- a client that goes
 
     @Example
@@ -253,6 +291,82 @@
         assertEquals(10, engine.seen("fetch").size());
     }
 
+    // ---- the process
+
+    /** Patience is long, its engine hangs, and SIGKILL is near: what may be tried again is deferred, not killed. */
+    @Example
+    void aFrontThatLeavesSaysOfEachQueryWhetherARetryIsSafe() throws Exception {
+        EngineStandIn silent = silentEngine();
+        journal = open(new JournalStandIn());
+        String config = Program.config(Program.freeAddress(), journal.address(),
+                event(1, true, host("e0", silent.address(), "ready")));
+        String once = "{\"name\":\"load\",\"aimMs\":9000.0,\"deadlineMs\":30000.0,\"effect\":\"once\",\"points\":1.0}";
+        front = open(new Program(config.replace("\"aimMs\":900.0", "\"deadlineMs\":30000.0,\"aimMs\":900.0")
+                .replace("\"points\":1.0}]", "\"points\":1.0}," + once + "]")
+                .replace("\"parallelism\":[1]", "\"parallelism\":[1,1]"))).ready();
+        Client client = client().send(Client.query(1, Client.trace(), 30_000, "select"), Client.pack(List.of(0, 2,
+                "load", List.of(Client.fields(Client.trace(), 30_000), new byte[3]))));
+        await("both at the engine", () -> silent.seen("fetch").size() == 2);
+        long term = System.nanoTime();
+        front.signal("-TERM");
+        await("its leaving", () -> front.logged("leaving"));
+        front.signal("-TERM");
+        Map<Long, List<?>> answers = client.read(2);
+        assertEquals("Shed", Client.error(answers.get(1L)));
+        assertEquals("Fault", Client.error(answers.get(2L)));
+        assertTrue(client.socket.getInputStream().read() < 0, "an orderly end");
+        client.close();
+        assertTrue(front.process.waitFor(10, TimeUnit.SECONDS));
+        assertEquals(0, front.process.exitValue());
+        assertTrue(System.nanoTime() - term < 3_700_000_000L, "SIGKILL would have come");
+    }
+
+    /** SIGHUP between the reading of the file and the first call: the file is read once more. */
+    @Example
+    void aReloadThatComesDuringTheStartIsNotLost() throws Exception {
+        JournalStandIn before = open(new JournalStandIn());
+        JournalStandIn after = open(new JournalStandIn());
+        String listen = Program.freeAddress();
+        front = open(Program.waiting(listen));
+        String config = Program.config(listen, before.address(),
+                event(1, true, host("e0", engine(1).address(), "ready")));
+        front.configuredLine(config);
+        front.configured(config, () -> {
+            try {
+                front.signal("-HUP");
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
+        });
+        CompletableFuture<Void> again = CompletableFuture.runAsync(() -> {
+            try {
+                front.configured(config.replace(before.address(), after.address()), () -> { });
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+        again.get(10, TimeUnit.SECONDS);
+        await("the call at the new address", () -> !after.calledFrom.isEmpty());
+        serves();
+    }
+
+    @Example
+    void sigtermDuringTheStartEndsItWithZero() throws Exception {
+        String listen = Program.freeAddress();
+        front = open(Program.waiting(listen));
+        String config = Program.config(listen, "127.0.0.1:1");
+        front.configuredLine(config);
+        front.configured(config, () -> {
+            try {
+                front.signal("-TERM");
+                assertTrue(front.process.waitFor(5, TimeUnit.SECONDS), "it waits for its file");
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
+        });
+        assertEquals(0, front.process.exitValue());
+    }
+
     // ---- the journal's call
 
     /** Clients fill their part for as long as discovery is down; the call to it must find a descriptor. */
