--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -934,8 +934,6 @@
             return furtherAt.size() + 1 <= ration.free() + ration.perQuery() * takenAt.size();
         }
 
-        /** Bad plans: what a fresh start would end far sooner than the rest of this run starts afresh. */
-        private void progress(Query q, Event.ShareDone note) {
         /** A repeat counts when it arrives: a late connection or a stop of the loop may come between. */
         private long departBy(Query q) {
             Deployment.ResourceGroup group = house.groups().get(q.group);
@@ -943,6 +941,8 @@
                     ? q.ranSince + group.recognisedFor() - ARRIVAL : Long.MAX_VALUE;
         }
 
+        /** Bad plans: what a fresh start would end far sooner than the rest of this run starts afresh. */
+        private void progress(Query q, Event.ShareDone note) {
             // Answers tell of an overload only once it has passed; notes of runs tell while it lasts.
             double share = note.share();
             long since = now - q.notedAt;
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -53,12 +53,12 @@
     /** Connections on which nothing of use has come yet, in the order of arrival; the rest by last use. */
     private final Set<ClientConnection> newcomers = new LinkedHashSet<>();
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
+    /** Those whose write side is shut, in the order of their ends. */
+    private final Set<ClientConnection> lingering = new LinkedHashSet<>();
     private boolean deciding;
     private boolean listed;
     private boolean leaving;
     private long stayUntil = Long.MAX_VALUE;
-    /** Those whose write side is shut, in the order of their ends. */
-    private final Set<ClientConnection> lingering = new LinkedHashSet<>();
     private long ids;
     private long held;
     private long sumAt;
@@ -103,7 +103,6 @@
         kept = where;
     }
 
-    /** Whether it can decide and means to stay. */
     EventLoop loop() {
         return loop;
     }
@@ -133,6 +132,7 @@
         return leaving;
     }
 
+    /** Whether it can decide and means to stay. */
     boolean able() {
         return listed && !leaving;
     }
@@ -181,6 +181,21 @@
         return true;
     }
 
+    /** Its write side is shut, and what still comes is thrown away. */
+    void lingers(ClientConnection client) {
+        if (lingering.size() >= limits.lingering && !leaving) {
+            // Each holds a descriptor, and a flood of ends must not take those of engines and journal.
+            ClientConnection eldest = lingering.iterator().next();
+            lingering.remove(eldest);
+            eldest.close();
+        }
+        lingering.add(client);
+    }
+
+    void lingersNoMore(ClientConnection client) {
+        lingering.remove(client);
+    }
+
     /**
      * Those that had their chance and sent nothing of use go first. Then the longest idle: its client asks
      * again on another. What has just come is about to ask, and would lose its query.
@@ -226,21 +241,6 @@
     /** The query, still to be decided, or null if it was answered here. */
     OpenQuery take(ClientConnection client, RpcDecoder.Call call, long arrivedAt) {
         Map<String, String> fields = call.fields();
-    /** Its write side is shut, and what still comes is thrown away. */
-    void lingers(ClientConnection client) {
-        if (lingering.size() >= limits.lingering && !leaving) {
-            // Each holds a descriptor, and a flood of ends must not take those of engines and journal.
-            ClientConnection eldest = lingering.iterator().next();
-            lingering.remove(eldest);
-            eldest.close();
-        }
-        lingering.add(client);
-    }
-
-    void lingersNoMore(ClientConnection client) {
-        lingering.remove(client);
-    }
-
         Id.Group group = boot.group(call.method());
         String fault = null;
         double patience = number(fields, "patience");
@@ -454,6 +454,12 @@
         long timeoutAt = submit.timeout() > 0 ? Math.min(q.leavesAt, now + submit.timeout()) : q.leavesAt;
         Submission s = new Submission(q, now, timeoutAt, submit.departBy());
         q.out = s;
+        if (q.answered) {
+            // Its client left after the event that is being decided; without an end its threads would count
+            // as out for good.
+            closed(s, Outcome.NOT_SENT);
+            return;
+        }
         s.end = timers.at(timeoutAt, () -> closed(s, Outcome.TIMED_OUT));
         engines.send(submit.engine(), s);
     }
@@ -473,21 +479,14 @@
     private void depart() {
         for (Submission s = departures.poll(); s != null; s = departures.poll()) {
             refresh();
-            if (s.over || s.connection == null) {
-                continue;
+            if (!s.over && s.query.client != null) {
+                // A client that has gone, or has taken its query back, may have done so while the loop stood
+                // still: its close lies in the socket behind the query, where the selector has yet to look.
+                s.query.client.there();
             }
-            if (!s.connection.departable()) {
-                log.line("submission withheld, engine no longer up", s.connection.engine());
-                closed(s, Outcome.WITHHELD);
+            if (s.over || s.connection == null) {
                 continue;
             }
-            try {
-                s.connection.depart(s);
-            } catch (RuntimeException | Error e) {
-                log.fault("a submission failed", e);
-            }
-        }
-        if (q.answered) {
             if (clock.now() > s.departBy) {
                 log.line("submission withheld, its repeat would no longer be recognised", s.query.trace);
                 closed(s, Outcome.WITHHELD);
@@ -500,10 +499,16 @@
                 engines.send(engine, s);
                 continue;
             }
-            // Its client left after the event that is being decided; without an end its threads would count
-            // as out for good.
-            closed(s, Outcome.NOT_SENT);
-            return;
+            if (!s.connection.departable()) {
+                log.line("submission withheld, engine no longer up", s.connection.engine());
+                closed(s, Outcome.WITHHELD);
+                continue;
+            }
+            try {
+                s.connection.depart(s);
+            } catch (RuntimeException | Error e) {
+                log.fault("a submission failed", e);
+            }
         }
     }
 
@@ -524,11 +529,6 @@
             kept.over(s);
         }
         if (outcome == Outcome.FINISHED && !q.answered) {
-            if (!s.over && s.query.client != null) {
-                // A client that has gone, or has taken its query back, may have done so while the loop stood
-                // still: its close lies in the socket behind the query, where the selector has yet to look.
-                s.query.client.there();
-            }
             q.answered = true;
             if (s.handle != null) {
                 q.client.firstPage(q, s);
