The test of forgotten repeats waits for the log line, which comes beside the answer

One full run of all tests failed on it: the line was in the log that the failure printed, a moment after it was looked for.

--- a/src/test/java/reedspring/net/EndingsIT.java
+++ b/src/test/java/reedspring/net/EndingsIT.java
@@ -266,7 +266,7 @@
         late.comesUp();
         assertEquals("Shed", Client.error(client.read()));
         assertTrue(late.seen("fetch").isEmpty(), "sent on after its repeats were forgotten");
-        assertTrue(front.logged("would no longer be recognised"), front.log::toString);
+        await("its line in the log", () -> front.logged("would no longer be recognised"));
     }
 
     /** An engine's close of a resting connection lies unread when the next query for it is decided. */
