--- a/src/main/java/reedspring/net/Journal.java
+++ b/src/main/java/reedspring/net/Journal.java
@@ -265,11 +265,27 @@
                 bornMs.remove(host.listing().engine());
                 startedAt.remove(host.listing().engine());
             });
+            if (whole) {
+                // Who is not named any more has gone without a word.
+                List<Id.Engine> named = hosts.stream().map(host -> host.listing().engine()).toList();
+                bornMs.keySet().retainAll(named);
+                startedAt.keySet().retainAll(named);
+            }
             front.listed(whole ? Reading.COMPLETE : Reading.CHANGES, hosts);
         }
         return true;
     }
 
+    /** The number of the last event read. */
+    long position() {
+        return position;
+    }
+
+    /** Of how many engines something is kept here. */
+    int held() {
+        return startedAt.size();
+    }
+
     private static boolean whole(Map<?, ?> list) {
         return "true".equals(list.get("whole"));
     }
--- a/src/test/java/reedspring/net/LoopTest.java
+++ b/src/test/java/reedspring/net/LoopTest.java
@@ -130,6 +130,42 @@
         assertEquals(before, drained.seen.size(), "sent on after the notice lay in the socket");
     }
 
+    /** Clients, engines and closing connections at their limits leave the process its own, whatever the limit. */
+    @Example
+    void descriptorsAreSharedSoThatTheJournalIsAlwaysWithinReach() throws Exception {
+        for (int sockets = 64; sockets <= 4_096; sockets++) {
+            Limits each = new Limits(new Boot(SETTINGS), sockets, 192);
+            int shared = each.clientConnections + each.allEngineConnections + each.lingering;
+            assertTrue(sockets - shared >= 40 && each.clientConnections > 0 && each.allEngineConnections > 0,
+                    shared + " of " + sockets);
+            // Clients hold a third at most.
+            assertTrue(sockets < 128 || each.clientConnections >= sockets / 3, "clients of " + sockets);
+        }
+    }
+
+    /** Else a front that lives through thousands of engines keeps something of each. */
+    @Example
+    void theJournalKeepsNothingOfEnginesThatWholeListsNameNoMore() throws Exception {
+        JournalStandIn journal = open(new JournalStandIn());
+        EngineStandIn engine = engine();
+        for (int k = 0; k < 200; k++) {
+            journal.tell(k % 10 == 9, host("e" + k, engine.address(), "ready"));
+        }
+        Journal follower = onLoop(() -> {
+            Journal made = new Journal(loop, front, limits, Startup.address(journal.address(), "journal"), 1);
+            made.follow();
+            return made;
+        });
+        await("the last list", () -> {
+            try {
+                return onLoop(follower::position) == 200;
+            } catch (Exception e) {
+                throw new AssertionError(e);
+            }
+        });
+        assertEquals(1, onLoop(follower::held));
+    }
+
     /** A notice that comes between the decision and the way out, while the connection is still coming up. */
     @Example
     void whatIsDecidedIsWithheldOnceTheEngineDrainsAndGoesElsewhere() throws Exception {
