The mark of a tokened query goes on to its engine with each submission

Ruled out: class, statement and id, which went on unchanged, and the window, as the first submission of each front was named.

The front that served one customer only had never seen a tokened class on sockets: what was taken for granted is that a query is its id, class and statement. A mark that would break the list of fields is answered with an error.

--- a/src/main/java/reedspring/net/EngineConnection.java
+++ b/src/main/java/reedspring/net/EngineConnection.java
@@ -184,7 +184,8 @@
         s.written = true;
         long left = Math.max(1, (s.timeoutAt - lastUsedAt) / 10);
         channel.write(message(q.statement.retainedDuplicate(), "fetch", q.trace, "lane=" + q.group + ",ttl="
-                + left + (q.priority >= 0 ? ",urgency=" + q.priority : "")));
+                + left + (q.priority >= 0 ? ",urgency=" + q.priority : "")
+                + (q.mark != null ? ",dedupe=" + q.mark : "")));
         // Past the handler that gathers flushes until the turn's end.
         channel.pipeline().context(FlushConsolidationHandler.class).flush();
     }
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -30,6 +30,8 @@
  */
 final class Front {
     private static final Pattern TRACE = Pattern.compile("[0-9a-fA-F]{16}");
+    /** Goes on in a list of name=value, which it must not break. */
+    private static final Pattern MARK = Pattern.compile("[0-9A-Za-z._:/+-]{1,128}");
     private static final Pattern FIGURE = Pattern.compile("[0-9][0-9.eE+-]{0,31}");
 
     private final Boot boot;
@@ -260,6 +262,8 @@
             fault = "need_mb: megabytes are wanted";
         } else if (tenant == Id.Tenant.NOBODY && !boot.deployment().tenants().isEmpty()) {
             fault = "no such customer";
+        } else if (fields.containsKey("nonce") && !MARK.matcher(fields.get("nonce")).matches()) {
+            fault = "nonce: letters, digits and ._:/+- are wanted, 128 at most";
         } else if (call.body() == null) {
             fault = "the body is missing";
         } else if (traces.containsKey(trace)) {
@@ -283,6 +287,7 @@
         OpenQuery q = new OpenQuery(new Id.Query(++ids), call.id(), client, trace, call.method(),
                 call.body().retain(), Math.min(stayUntil,
                         arrivedAt + Times.nearest(patience)));
+        q.mark = fields.get("nonce");
         q.paged = kept != null && "1".equals(fields.get("pages"));
         if (q.paged) {
             q.tenant = fields.getOrDefault("customer", "");
--- a/src/main/java/reedspring/net/OpenQuery.java
+++ b/src/main/java/reedspring/net/OpenQuery.java
@@ -14,6 +14,8 @@
     final ByteBuf statement;
     long leavesAt;
     Event.Taken taken;
+    /** By which engines recognise a repeat, or null. Each submission bears it as the client sent it. */
+    String mark;
     /** Whether its client takes pages, and what the spool has to know of it then. */
     boolean paged;
     boolean repeatable;
--- a/src/test/java/reedspring/net/EndingsIT.java
+++ b/src/test/java/reedspring/net/EndingsIT.java
@@ -269,6 +269,35 @@
         await("its line in the log", () -> front.logged("would no longer be recognised"));
     }
 
+    /** An engine that gets a tokened query without its mark can't recognise a repeat, or won't take it at all. */
+    @Example
+    void theMarkOfATokenedQueryGoesOnWithEachSubmission() throws Exception {
+        List<EngineStandIn.Command> fetches = held();
+        EngineStandIn engine = open(new EngineStandIn(command -> {
+            if (command.word().equals("fetch")) {
+                fetches.add(command);
+                command.answer("failed", "-", "");
+            }
+        }));
+        startWithout(REPEATABLE, "\"effect\":\"by_key\",\"group\":\"all\",\"windowMs\":4000.0", engine);
+        Map<String, Object> fields = Client.fields(Client.trace(), PATIENCE);
+        String mark = "c15ff86878fcb8b86cd8b2788e726121";
+        fields.put("nonce", mark);
+        Client client = client().send(Client.pack(List.of(0, 1, "lookup", List.of(fields, new byte[3]))));
+        assertEquals("Shed", Client.error(client.read()));
+        assertEquals(3, fetches.size(), "all submissions");
+        for (EngineStandIn.Command fetch : fetches) {
+            assertTrue(List.of(fetch.words().get(2).split(",")).contains("dedupe=" + mark), fetch.words().get(2));
+        }
+        for (String bad : List.of("", "a,ttl=1", "a=b", "x".repeat(129), "a\r\nb")) {
+            fields.put("trace", Client.trace());
+            fields.put("nonce", bad);
+            client.send(Client.pack(List.of(0, 2, "lookup", List.of(fields, new byte[3]))));
+            assertEquals("Fault", Client.error(client.read()));
+        }
+        assertEquals(3, fetches.size(), "what can't be used goes to no engine");
+    }
+
     /** An engine's close of a resting connection lies unread when the next query for it is decided. */
     @Example
     void aConnectionThatItsEngineClosedWhileItRestedCarriesNothing() throws Exception {
