--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -436,10 +436,11 @@
 
     private double warmth(int at) {
         double from = house.coldStart().from();
-        return !cold(at) ? 1 : from + (1 - from) * Math.max(0, now - startedAt[at]) / house.coldStart().ramp();
+        return !cold(at) ? 1
+                : from + (1 - from) * Math.max(0, now - startedAt[at]) / house.coldStart().ramp();
     }
 
-    /** How much longer than its work a query runs there: by what was seen, or by how cold it is told to be. */
+    /** How much longer than its work a query runs there: by what was seen, or else by its ramp. */
     private double slowness(int at) {
         return Double.isNaN(pace[at]) ? 1 / warmth(at) : Math.exp(pace[at]);
     }
--- a/src/main/java/reedspring/api/Action.java
+++ b/src/main/java/reedspring/api/Action.java
@@ -3,8 +3,8 @@
 /** What a front asks for. Times and spans are whole tenths of a millisecond. */
 public sealed interface Action {
     /**
-     * {@code timeout} 0: until the client leaves. Past {@code departBy} it must not begin any more, whatever held
-     * it up on its way out: {@code Long.MAX_VALUE} where nothing but the timeout bounds that.
+     * {@code timeout} 0: until the client leaves. Past {@code departBy} it must not begin any more, whatever
+     * held it up on its way out: {@code Long.MAX_VALUE} where nothing but the timeout bounds that.
      */
     record Submit(Id.Query query, Id.Engine engine, long timeout, long departBy) implements Action {
     }
--- a/src/main/java/reedspring/api/Event.java
+++ b/src/main/java/reedspring/api/Event.java
@@ -59,7 +59,7 @@
     enum Outcome {
         FINISHED(false), ERROR(false), TURNED_AWAY(true), TIMED_OUT(false), UNREACHABLE(true), BROKEN(false),
         CANCELLED(false), NOT_SENT(true),
-        /** Kept by the front: when it could leave its engine was no longer up, or its time to begin was over. */
+        /** Kept by the front: when it could leave, its engine was not up or its time to begin was over. */
         WITHHELD(true),
         /** It ran well, and its answer could not be kept for the client: another run would fare no better. */
         NOT_KEPT(false);
--- a/src/main/java/reedspring/net/EngineConnection.java
+++ b/src/main/java/reedspring/net/EngineConnection.java
@@ -149,8 +149,8 @@
     }
 
     /**
-     * Whether it still stands, by what lies in its socket now. Engines close what rests, some of them early; a
-     * submission that is written after that has an unclear end, and a mutating query can't be sent again then.
+     * Whether it still stands, by what lies in its socket now. Engines close what rests, some of them early;
+     * a submission that is written after that has an unclear end, and a mutating query can't be sent again.
      * One that has carried nothing yet is no resting one: an engine that closes each new connection is
      * unreachable.
      */
@@ -326,8 +326,8 @@
     private void over(Submission s, Outcome outcome) {
         if (s != null) {
             if (s.pages == null) {
-                // The engine's last word, but perhaps not the only copy of it. A second one would pass for the
-                // end of the query's next submission, and prove that what runs never ran.
+                // The engine's last word, but perhaps not the only copy of it. A second one would pass for
+                // the end of the query's next submission, and prove that what runs never ran.
                 open.remove(s.query.trace, s);
                 keepLatest(spent, s.query.trace);
             }
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -4,7 +4,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -110,8 +109,8 @@
     }
 
     /**
-     * What follows from a dial, on the loop: without a descriptor there is no channel, and Netty tells so on a
-     * thread of its own, with a channel that was never opened and so is never closed either.
+     * What follows from a dial, on the loop: without a descriptor there is no channel, and Netty tells so on
+     * a thread of its own, with a channel that was never opened and so is never closed either.
      */
     void dialled(ChannelFuture dialled, Consumer<ChannelFuture> then) {
         dialled.addListener(done -> {
@@ -614,8 +613,8 @@
         long now = clock.now();
         stayUntil = now + limits.leavingLongest * 10L;
         log.once("leaving,", queries.size() + " queries open");
-        // The decisions answer what waits, and what is out ends in time for them to answer that, too: whether a
-        // retry is safe is theirs to say.
+        // The decisions answer what waits, and what is out ends in time for them to answer that, too: whether
+        // a retry is safe is theirs to say.
         on(new Event.Leaving(stayUntil));
         for (OpenQuery q : List.copyOf(queries.values())) {
             q.leavesAt = Math.min(q.leavesAt, stayUntil);
--- a/src/rig/java/reedspring/rig/EngineStandIn.java
+++ b/src/rig/java/reedspring/rig/EngineStandIn.java
@@ -81,7 +81,8 @@
      * accepts. What is dialled meanwhile comes up with the kernel's next try, one or three seconds after.
      */
     public static EngineStandIn late(Consumer<Command> work) throws IOException {
-        EngineStandIn late = new EngineStandIn(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()), work);
+        EngineStandIn late = new EngineStandIn(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()),
+                work);
         for (boolean full = false; !full; ) {
             Socket one = new Socket();
             try {
--- a/src/rig/java/reedspring/rig/Program.java
+++ b/src/rig/java/reedspring/rig/Program.java
@@ -56,7 +56,8 @@
     /** Under a limit on descriptors that the system itself holds it to. */
     public static Program withDescriptors(int most, String config) throws IOException {
         return new Program(config, Path.of("."),
-                List.of("/bin/sh", "-c", "ulimit -n " + most + "; exec /bin/sh -c \"$0\"", run(Path.of("."))));
+                List.of("/bin/sh", "-c", "ulimit -n " + most + "; exec /bin/sh -c \"$0\"",
+                        run(Path.of("."))));
     }
 
     /**
@@ -76,7 +77,7 @@
         Rig.await("the program itself", () -> process.info().command().orElse("").endsWith("java"));
     }
 
-    /** Waits until the file is opened, lets {@code meanwhile} run, and gives it to be read if it still can. */
+    /** Waits until the file is opened, lets {@code meanwhile} run, and gives it to be read if it can. */
     public void configured(String config, Server.Work meanwhile) throws IOException {
         try (OutputStream out = Files.newOutputStream(file)) {
             meanwhile.run();
--- a/src/test/java/reedspring/ControlTest.java
+++ b/src/test/java/reedspring/ControlTest.java
@@ -149,7 +149,7 @@
         long by = house.now + 3 * SECOND;
         house.leaving(by);
         house.pass(3 * SECOND - 1);
-        assertTrue(house.held.values().stream().allMatch(q -> q.out != null), "what waits is answered before");
+        assertTrue(house.held.values().stream().allMatch(q -> q.out != null), "what waits goes before");
         house.pass(1_000);
         assertTrue(house.held.isEmpty(), house.held::toString);
     }
--- a/src/test/java/reedspring/FleetTest.java
+++ b/src/test/java/reedspring/FleetTest.java
@@ -95,8 +95,8 @@
     }
 
     /**
-     * What all fronts send together, equal and unequal, some of them started anew within the window: the fleet
-     * checks each arrival against the rule with no more room for chance than twice the root and two.
+     * What all fronts send together, equal and unequal, some of them started anew within the window: the
+     * fleet checks each arrival against the rule with no more room for chance than twice the root and two.
      */
     @Example
     void allFrontsTogetherPushNoColdEngineOver() throws SettingsException {
--- a/src/test/java/reedspring/net/EndingsIT.java
+++ b/src/test/java/reedspring/net/EndingsIT.java
@@ -27,8 +27,8 @@
 import reedspring.rig.Program;
 
 /**
- * What ends at the instant in which something is still owed, or on its way: each crossing is forced by the other
- * side. docs/endings.md has a row for each.
+ * What ends at the instant in which something is still owed, or on its way: each crossing is forced by the
+ * other side. docs/endings.md has a row for each.
  */
 class EndingsIT extends Started {
     private static final byte[] HEARTBEAT = Client.pack(List.of(0, 99, "heartbeat", List.of(Map.of())));
@@ -60,7 +60,8 @@
 
     /** Its kernel takes little, so that most of an answer stays with the front until it is read. */
     private Client narrow() throws IOException {
-        return open(new Client(Integer.parseInt(front.listen.substring(front.listen.indexOf(':') + 1)), 4_000_000));
+        return open(new Client(Integer.parseInt(front.listen.substring(front.listen.indexOf(':') + 1)),
+                4_000_000));
     }
 
     private void stopped(Work meanwhile) throws Exception {
@@ -92,10 +93,12 @@
             client.send(Client.query(1, trace, PATIENCE, "select"),
                     Client.query(2, Client.trace(), PATIENCE, "open"));
             await("both at the engine", () -> held.size() == 2);
-            EngineStandIn.pages(7).accept(held.stream().filter(c -> c.id().equals(trace)).findAny().orElseThrow());
-            // The end must come behind it, not ahead: the engine has sent all of it, and the front reads at once.
+            EngineStandIn.pages(7).accept(held.stream().filter(c -> c.id().equals(trace)).findAny()
+                    .orElseThrow());
+            // The end must come behind it, not ahead: the engine has sent all, and the front reads at once.
             Thread.sleep(100);
-            client.send(twice ? Client.query(2, Client.trace(), PATIENCE, "number twice") : new byte[0], noise);
+            client.send(twice ? Client.query(2, Client.trace(), PATIENCE, "number twice") : new byte[0],
+                    noise);
             List<?> whole = client.read();
             assertEquals(1L, whole.get(1));
             assertEquals(7 * EngineStandIn.page(trace, 0).length(), Client.rows(whole).length());
@@ -166,7 +169,7 @@
         assertEquals(before + 1, engine.seen("fetch").size(), "begun for a client that had gone");
     }
 
-    /** Nobody reads from the socket of a client that takes nothing: there its revoke and its close would lie. */
+    /** A socket that is not read, as its client takes nothing, would hide its revoke and its close. */
     @Example
     void aClientThatDoesNotReadIsHeardAllTheSame() throws Exception {
         List<EngineStandIn.Command> held = held();
@@ -177,8 +180,8 @@
             deaf.send(Client.query(id, Client.trace(), PATIENCE, "select"));
         }
         await("them at the engine", () -> held.size() == 6);
-        deaf.send(Client.query(7, Client.trace(), PATIENCE, "fails"), Client.query(8, Client.trace(), PATIENCE,
-                "fails, too"));
+        deaf.send(Client.query(7, Client.trace(), PATIENCE, "fails"),
+                Client.query(8, Client.trace(), PATIENCE, "fails, too"));
         await("them at the engine", () -> held.size() == 8);
         held.subList(0, 6).forEach(EngineStandIn.pages(7));
         await("all pages asked for", () -> engine.seen("more").size() == 36);
@@ -195,8 +198,8 @@
         held.get(8).answer("failed", "-", "");
         // An answer of the front shows that it has read what the engine said.
         client().send(HEARTBEAT).read();
-        assertEquals(1, held.stream().filter(c -> c.id().equals(held.get(6).id())).count(), "after its revoke");
-        assertEquals(2, held.stream().filter(c -> c.id().equals(held.get(7).id())).count(), "after its close");
+        assertEquals(1, held.stream().filter(c -> c.id().equals(held.get(6).id())).count(), "once revoked");
+        assertEquals(2, held.stream().filter(c -> c.id().equals(held.get(7).id())).count(), "once closed");
     }
 
     /** It waits for a connection to its engine, its client goes, the connection comes up. */
@@ -243,7 +246,7 @@
         assertEquals(EngineStandIn.page(trace, 0), Client.rows(client.read()));
     }
 
-    /** The engine's forgetting counts from the first run to the arrival of the next, late connections and all. */
+    /** Forgetting counts from the first run to the arrival of the next, late connections and all. */
     @Example
     void aRepeatIsNotSentOnceItWouldNoLongerBeRecognised() throws Exception {
         List<EngineStandIn.Command> held = held();
@@ -269,7 +272,7 @@
         await("its line in the log", () -> front.logged("would no longer be recognised"));
     }
 
-    /** An engine that gets a tokened query without its mark can't recognise a repeat, or won't take it at all. */
+    /** An engine that gets a tokened query without its mark can't recognise a repeat. */
     @Example
     void theMarkOfATokenedQueryGoesOnWithEachSubmission() throws Exception {
         List<EngineStandIn.Command> fetches = held();
@@ -287,7 +290,8 @@
         assertEquals("Shed", Client.error(client.read()));
         assertEquals(3, fetches.size(), "all submissions");
         for (EngineStandIn.Command fetch : fetches) {
-            assertTrue(List.of(fetch.words().get(2).split(",")).contains("dedupe=" + mark), fetch.words().get(2));
+            List<String> sent = List.of(fetch.words().get(2).split(","));
+            assertTrue(sent.contains("dedupe=" + mark), sent::toString);
         }
         for (String bad : List.of("", "a,ttl=1", "a=b", "x".repeat(129), "a\r\nb")) {
             fields.put("trace", Client.trace());
@@ -305,8 +309,8 @@
         startWithout(REPEATABLE, "\"effect\":\"once\"", engine);
         Client client = client();
         for (int id = 1; id <= 5; id++) {
-            assertNotEquals(null, Client.rows(client.send(Client.query(id, Client.trace(), PATIENCE, "insert"))
-                    .read()));
+            assertNotEquals(null, Client.rows(client.send(Client.query(id, Client.trace(), PATIENCE,
+                    "insert")).read()));
             int next = id;
             stopped(() -> {
                 client.send(Client.query(100 + next, Client.trace(), PATIENCE, "insert"));
@@ -322,19 +326,21 @@
 
     // ---- the process
 
-    /** Patience is long, its engine hangs, and SIGKILL is near: what may be tried again is deferred, not killed. */
+    /** Patience is long, its engine hangs, and SIGKILL is near: what may be tried again is deferred. */
     @Example
     void aFrontThatLeavesSaysOfEachQueryWhetherARetryIsSafe() throws Exception {
         EngineStandIn silent = silentEngine();
         journal = open(new JournalStandIn());
         String config = Program.config(Program.freeAddress(), journal.address(),
                 event(1, true, host("e0", silent.address(), "ready")));
-        String once = "{\"name\":\"load\",\"aimMs\":9000.0,\"deadlineMs\":30000.0,\"effect\":\"once\",\"points\":1.0}";
+        String once = "{\"name\":\"load\",\"aimMs\":9000.0,\"deadlineMs\":30000.0,\"effect\":\"once\","
+                + "\"points\":1.0}";
         front = open(new Program(config.replace("\"aimMs\":900.0", "\"deadlineMs\":30000.0,\"aimMs\":900.0")
                 .replace("\"points\":1.0}]", "\"points\":1.0}," + once + "]")
                 .replace("\"parallelism\":[1]", "\"parallelism\":[1,1]"))).ready();
-        Client client = client().send(Client.query(1, Client.trace(), 30_000, "select"), Client.pack(List.of(0, 2,
-                "load", List.of(Client.fields(Client.trace(), 30_000), new byte[3]))));
+        Client client = client().send(Client.query(1, Client.trace(), 30_000, "select"),
+                Client.pack(List.of(0, 2, "load", List.of(Client.fields(Client.trace(), 30_000),
+                        new byte[3]))));
         await("both at the engine", () -> silent.seen("fetch").size() == 2);
         long term = System.nanoTime();
         front.signal("-TERM");
@@ -406,7 +412,8 @@
         EngineStandIn engine = engine(1);
         String config = Program.config(Program.freeAddress(), journalAt,
                 event(1, true, host("e0", engine.address(), "draining")));
-        front = open(Program.withDescriptors(most, config.replace("\"sockets\":1024", "\"sockets\":" + most)));
+        front = open(Program.withDescriptors(most, config.replace("\"sockets\":1024",
+                "\"sockets\":" + most)));
         front.ready();
         List<Client> idle = new ArrayList<>();
         for (int k = 0; k < 2 * most; k++) {
@@ -424,7 +431,8 @@
         journal.send("id: 2\ndata: " + event(2, true, host("e1", engine.address(), "ready")) + "\n\n");
         await("a query served", () -> {
             try (Client fresh = front.client()) {
-                return Client.rows(fresh.send(Client.query(1, Client.trace(), PATIENCE, "select")).read()) != null;
+                return Client.rows(fresh.send(Client.query(1, Client.trace(), PATIENCE, "select")).read())
+                        != null;
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
             }
@@ -432,7 +440,7 @@
         assertFalse(front.logged("Too many open files"), front.log::toString);
     }
 
-    /** Where no descriptor is left all the same, there is no channel, and Netty tells so on another thread. */
+    /** Where no descriptor is left there is no channel, and Netty tells so on another thread. */
     @Example
     void aCallThatFoundNoDescriptorIsMadeAgainAndAQueryIsDecidedAnew() throws Exception {
         start(engine(1));
--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -40,7 +40,6 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
-import net.jqwik.api.lifecycle.AfterTry;
 import reedspring.api.Id;
 import reedspring.boot.Boot;
 import reedspring.rig.Client;
--- a/src/test/java/reedspring/net/LoopTest.java
+++ b/src/test/java/reedspring/net/LoopTest.java
@@ -130,7 +130,7 @@
         assertEquals(before, drained.seen.size(), "sent on after the notice lay in the socket");
     }
 
-    /** Clients, engines and closing connections at their limits leave the process its own, whatever the limit. */
+    /** Clients, engines and closing connections at their limits leave the process its own. */
     @Example
     void descriptorsAreSharedSoThatTheJournalIsAlwaysWithinReach() throws Exception {
         for (int sockets = 64; sockets <= 4_096; sockets++) {
--- a/src/test/java/reedspring/net/SpoolIT.java
+++ b/src/test/java/reedspring/net/SpoolIT.java
@@ -11,30 +11,25 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
-import net.jqwik.api.lifecycle.AfterTry;
 import reedspring.rig.Client;
 import reedspring.rig.EngineStandIn;
 import reedspring.rig.JournalStandIn;
 import reedspring.rig.Program;
 
 /** The built program with a spool: pages that are kept, read later, and after it was killed. */
-class SpoolIT {
+class SpoolIT extends Started {
     private static final int PAGES = 40;
     private static final int PATIENCE = 9_000;
 
-    private final List<AutoCloseable> opened = new ArrayList<>();
     private final Path folder;
     private final Path key;
     private final String listen;
     private EngineStandIn engine;
-    private JournalStandIn journal;
-    private Program front;
 
     SpoolIT() throws IOException {
         folder = Files.createDirectory(Files.createTempDirectory("reedspring").resolve("spool"));
@@ -42,18 +37,6 @@
         listen = Program.freeAddress();
     }
 
-    private <T extends AutoCloseable> T open(T what) {
-        opened.add(what);
-        return what;
-    }
-
-    @AfterTry
-    void closeAll() throws Exception {
-        for (AutoCloseable what : opened) {
-            what.close();
-        }
-    }
-
     private void start(String more, String effect) throws Exception {
         if (engine == null) {
             engine = open(new EngineStandIn(EngineStandIn.pages(PAGES)));
@@ -66,10 +49,6 @@
         await("what lies on the disk", () -> front.logged("answers found") || front.logged("can't be used"));
     }
 
-    private Client client() throws IOException {
-        return open(front.client());
-    }
-
     private static byte[] paged(int id, String trace) {
         Map<String, Object> fields = Client.fields(trace, PATIENCE);
         fields.put("pages", "1");
