--- a/src/rig/java/reedspring/rig/fleet/Relay.java
+++ b/src/rig/java/reedspring/rig/fleet/Relay.java
@@ -233,7 +233,8 @@
             there.drop();
             back.drop();
             for (Channel end : half ? new Channel[] {far} : new Channel[] {near, far}) {
-                if (end != null) {
+                // One that its own side has closed a moment ago has no option to set any more.
+                if (end != null && end.isOpen()) {
                     end.config().setOption(ChannelOption.SO_LINGER, 0);
                     end.close();
                 }
@@ -370,7 +371,8 @@
             (byte) (third % 250 + 1)});
     }
 
-    private void run(Runnable what) {
+    /** On the loop, in one turn. */
+    void run(Runnable what) {
         Runnable safe = () -> {
             try {
                 what.run();
