The memory's part where engines don't page is reckoned from the share again; departures guarded

It is reckoned from the share now. - Front.depart ran outside any guard but for the write: a fault in a look at a socket would have kept all later submissions from leaving. Each departs for itself now. No such fault was seen.

--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -649,13 +649,16 @@
         }
 
         private double bound() {
-            double sum = overOpen(Control.this::worth);
             // What was grown goes first: at the least of the factor nothing is left of it.
             double least = LEAST_BOUND / house.fronts() / share();
-            return Math.max(mostThreads, sum * THREADS_PER_CORE * share() * factor
+            return Math.max(mostThreads, ownThreadsAtStart() * factor
                     + grown * Math.max(0, factor - least) / Math.max(1e-3, 1 - least));
         }
 
+        private double ownThreadsAtStart() {
+            return overOpen(Control.this::worth) * THREADS_PER_CORE * share();
+        }
+
         /** An equal part or, as fronts can be very unequal, what its arrivals clearly are of all tenants'. */
         private double share() {
             double equal = 1.0 / house.fronts();
@@ -690,7 +693,7 @@
             double bound = bound();
             double room = bound - threadsOut();
             idle = room >= bound;
-            memoryPart = share() * (house.pages() ? 1 : 1 + grown / (bound / factor - grown));
+            memoryPart = share() * (house.pages() ? 1 : 1 + grown / Math.max(1, ownThreadsAtStart()));
             double ownPart = memoryPart * memoryPart() * overOpen(k -> memoryMb[k]);
             othersMemory = (1 / memoryPart - 1) * overOpen(k -> ownMemory[k])
                     / Math.max(1, overOpen(k -> memoryMb[k]));
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -482,40 +482,41 @@
      */
     private void depart() {
         for (Submission s = departures.poll(); s != null; s = departures.poll()) {
-            refresh();
-            if (!s.over && s.query.client != null) {
-                // A client that has gone, or has taken its query back, may have done so while the loop stood
-                // still: its close lies in the socket behind the query, where the selector has yet to look.
-                s.query.client.there();
-            }
-            if (s.over || s.connection == null) {
-                continue;
-            }
-            if (clock.now() > s.departBy) {
-                log.line("submission withheld, its repeat would no longer be recognised", s.query.trace);
-                closed(s, Outcome.WITHHELD);
-                continue;
-            }
-            if (!s.connection.there()) {
-                // Closed by its engine while it rested. Nothing of this was written, so it takes another.
-                Id.Engine engine = new Id.Engine(s.connection.engine());
-                s.connection.release(s);
-                engines.send(engine, s);
-                continue;
-            }
-            if (!s.connection.departable()) {
-                log.line("submission withheld, engine no longer up", s.connection.engine());
-                closed(s, Outcome.WITHHELD);
-                continue;
-            }
             try {
-                s.connection.depart(s);
+                depart(s);
             } catch (RuntimeException | Error e) {
+                // It ends at its time. The others must not wait for it.
                 log.fault("a submission failed", e);
             }
         }
     }
 
+    private void depart(Submission s) {
+        refresh();
+        if (!s.over && s.query.client != null) {
+            // A client that has gone, or has taken its query back, may have done so while the loop stood
+            // still: its close lies in the socket behind the query, where the selector has yet to look.
+            s.query.client.there();
+        }
+        if (s.over || s.connection == null) {
+            return;
+        }
+        if (clock.now() > s.departBy) {
+            log.line("submission withheld, its repeat would no longer be recognised", s.query.trace);
+            closed(s, Outcome.WITHHELD);
+        } else if (!s.connection.there()) {
+            // Closed by its engine while it rested. Nothing of this was written, so it takes another.
+            Id.Engine engine = new Id.Engine(s.connection.engine());
+            s.connection.release(s);
+            engines.send(engine, s);
+        } else if (!s.connection.departable()) {
+            log.line("submission withheld, engine no longer up", s.connection.engine());
+            closed(s, Outcome.WITHHELD);
+        } else {
+            s.connection.depart(s);
+        }
+    }
+
     /** A submission has ended, in whatever way; what comes of it later is not heard any more. */
     void closed(Submission s, Outcome seen) {
         if (s.over) {
