Answers that can't go out yet are kept as long as at any other time, also on a closing connection

Read from the code, and forced in the test: ClientConnection.shut gave what waits unsent 1 s, and once more 1 s, and then closed; a front that is done 0.85 s after SIGTERM so closed 2.85 s after it, where it had waited until 3.6 s before. It now waits as long as for any client that takes nothing (10 s), and at the end of the process as long as that allows.

Test: 16 answers of 42 kB, read 3.05 s after SIGTERM; connection ended before (EOF) without the change.

--- a/src/main/java/reedspring/net/ClientConnection.java
+++ b/src/main/java/reedspring/net/ClientConnection.java
@@ -316,6 +316,7 @@
         abandon();
         front.lingers(this);
         unsentBytes = Long.MAX_VALUE;
+        sentAt = front.clock().now();
         lingerOn();
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> {
             if (done.isSuccess() && channel.channel() instanceof DuplexChannel socket) {
@@ -326,12 +327,17 @@
         });
     }
 
-    /** As long as it takes what it was sent; without that the bound stands. */
+    /**
+     * Until its answers are out, or for as long as any client may take nothing: one that is silent for
+     * two seconds, and then goes on, must not have lost what waits here for it.
+     */
     private void lingerOn() {
         lingers = front.timers().in(front.limits().clientLinger * 10L, () -> {
             long waits = pending();
-            if (waits > 0 && waits < unsentBytes) {
-                unsentBytes = waits;
+            long now = front.clock().now();
+            sentAt = waits < unsentBytes ? now : sentAt;
+            unsentBytes = waits;
+            if (waits > 0 && now - sentAt < front.limits().clientStall * 10L) {
                 lingerOn();
             } else {
                 close();
--- a/src/test/java/reedspring/net/EndingsIT.java
+++ b/src/test/java/reedspring/net/EndingsIT.java
@@ -146,6 +146,23 @@
         assertTrue(rests.socket.getInputStream().read() < 0);
     }
 
+    /** A connection that is silent for some seconds of the front's end has its answers when it goes on. */
+    @Example
+    void answersThatCanNotGoOutYetAreKeptForAsLongAsTheEndAllows() throws Exception {
+        List<EngineStandIn.Command> held = held();
+        start(holding(held));
+        Client silent = narrow();
+        for (int id = 1; id <= 16; id++) {
+            silent.send(Client.query(id, Client.trace(), 9_000, "select"));
+        }
+        await("the queries at the engine", () -> held.size() == 16);
+        held.forEach(EngineStandIn.pages(7));
+        long term = System.nanoTime();
+        front.signal("-TERM");
+        Thread.sleep(Math.max(1, 3_050 - (System.nanoTime() - term) / 1_000_000));
+        assertEquals(16, silent.read(16).size());
+    }
+
     // ---- a client that goes
 
     @Example
