--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -434,6 +434,7 @@
                 Math.min(Math.log(Math.max(1, most) / per), held));
     }
 
+    /** The part of its cores that a cold engine has by what is told of its ramp; 1 for any other. */
     private double warmth(int at) {
         double from = house.coldStart().from();
         return !cold(at) ? 1
