The log tells of each query answered late or never how it went, by its trace

New lines, at an unusual end only, at most 8 named in 10 s, the rest counted: an answer whose last byte leaves over 50 ms past its time; a query whose client went past its time without one; one whose connection the front itself ended; an answer that could not be written any more; a submission that may have gone out over 0.1 s after its client had gone, as the loop stood still meanwhile.

DeadlineMissesIT forces each of the first three with a stopped front, and the bound; the last two have no test.

--- a/src/main/java/reedspring/net/ClientConnection.java
+++ b/src/main/java/reedspring/net/ClientConnection.java
@@ -29,6 +29,8 @@
     /** Answers that are written and have not gone out: for their client these are still open. */
     private int unread;
     private boolean ending;
+    /** Ended by the front, not by its client. */
+    private boolean endedHere;
     private Timers.Due lingers;
     private long unsentBytes;
     private boolean progress;
@@ -73,7 +75,7 @@
         } else if (message instanceof RpcDecoder.Notice notice && notice.method().equals("revoke")) {
             OpenQuery q = open.remove(notice.id());
             if (q != null) {
-                front.left(q);
+                front.left(q, false);
             }
         }
     }
@@ -130,7 +132,7 @@
             int length = text.readableBytes();
             channel.write(RpcWriter.rowsHead(channel.alloc(), id, length));
             channel.write(text);
-            answer(RpcWriter.rowsTail(channel.alloc(), "sheet", Integer.toString(sheet)), length);
+            answer(RpcWriter.rowsTail(channel.alloc(), "sheet", Integer.toString(sheet)), length, null);
         }
     }
 
@@ -178,7 +180,7 @@
         int length = pages.stream().mapToInt(ByteBuf::readableBytes).sum();
         channel.write(RpcWriter.rowsHead(channel.alloc(), q.messageId, length));
         pages.forEach(page -> channel.write(page.retain()));
-        answer(RpcWriter.rowsTail(channel.alloc()), length);
+        answer(RpcWriter.rowsTail(channel.alloc()), length, q);
     }
 
     /** The first page of an answer that is kept, and how to come for the others. */
@@ -190,18 +192,18 @@
         channel.write(RpcWriter.rowsHead(channel.alloc(), q.messageId, length));
         channel.write(first.retain());
         answer(RpcWriter.rowsTail(channel.alloc(), "sheets", Integer.toString(s.sheets), "handle",
-                s.handle, "kept", Long.toString(s.keptForMs)), length);
+                s.handle, "kept", Long.toString(s.keptForMs)), length, q);
     }
 
     /** A retry is safe; {@code comeBack} in tenths, 0 for no time named. */
     void defer(OpenQuery q, long comeBack) {
         open.remove(q.messageId);
-        shed(q.messageId, comeBack / 10);
+        answer(refusal(q.messageId, comeBack / 10), 0, q);
     }
 
     void kill(OpenQuery q, String why) {
         open.remove(q.messageId);
-        error(q.messageId, why);
+        answer(fault(q.messageId, why), 0, q);
     }
 
     void turnAway(long id) {
@@ -210,31 +212,52 @@
     }
 
     private void shed(long id, long pauseMs) {
-        answer(RpcWriter.error(channel.alloc(), id, "Shed", "pause",
-                pauseMs > 0 ? Long.toString(pauseMs) : null));
+        answer(refusal(id, pauseMs));
+    }
+
+    private ByteBuf refusal(long id, long pauseMs) {
+        return RpcWriter.error(channel.alloc(), id, "Shed", "pause",
+                pauseMs > 0 ? Long.toString(pauseMs) : null);
     }
 
     void error(long id, String why) {
-        answer(RpcWriter.error(channel.alloc(), id, "Fault", "say", why));
+        answer(fault(id, why));
+    }
+
+    private ByteBuf fault(long id, String why) {
+        return RpcWriter.error(channel.alloc(), id, "Fault", "say", why);
     }
 
     private void answer(ByteBuf message) {
-        answer(message, 0);
+        answer(message, 0, null);
     }
 
-    /** The last bytes of an answer, {@code held} of it counted against the room for all. */
-    private void answer(ByteBuf message, int held) {
+    /**
+     * The last bytes of an answer, {@code held} of it counted against the room for all.
+     *
+     * @param q the query whose final answer it is, or null
+     */
+    private void answer(ByteBuf message, int held, OpenQuery q) {
         unread++;
         front.hold(held);
+        if (q != null) {
+            front.misses().decided(q);
+        }
         channel.writeAndFlush(message).addListener(done -> {
             unread--;
             front.hold(-held);
             progress |= held > 0;
+            if (q != null && done.isSuccess()) {
+                front.misses().written(q);
+            } else if (q != null) {
+                front.misses().dropped(q, endedHere);
+            }
         });
         // It is read from all the same, as only so its close and its revokes are seen. No client has so many
         // open, and each answer here, however small, takes room.
         if (unread > front.limits().clientUnread && !ending) {
             front.log().line("client connection closed, it does not read", unread + " answers wait");
+            endedHere = true;
             close();
         }
     }
@@ -273,6 +296,7 @@
         unsentBytes = waits;
         if (now - sentAt >= front.limits().clientStall * 10L) {
             front.log().line("client connection closed, it does not read", waits + " bytes wait");
+            endedHere = true;
             close();
         } else if (idleSince(now - front.limits().clientIdle * 10L)) {
             // A query may lie unread just now.
@@ -312,6 +336,7 @@
             return;
         }
         ending = true;
+        endedHere = true;
         decoder.hearNoMore();
         abandon();
         front.lingers(this);
@@ -351,7 +376,7 @@
         List<OpenQuery> left = new ArrayList<>(open.values());
         open.clear();
         reads.clear();
-        left.forEach(front::left);
+        left.forEach(q -> front.left(q, endedHere));
     }
 
     /**
--- a/src/main/java/reedspring/net/EngineConnection.java
+++ b/src/main/java/reedspring/net/EngineConnection.java
@@ -181,6 +181,7 @@
         lastUsedAt = front.clock().now();
         rested = true;
         s.sentAt = lastUsedAt;
+        q.firstSentAt = q.firstSentAt == 0 ? lastUsedAt : q.firstSentAt;
         s.written = true;
         long left = Math.max(1, (s.timeoutAt - lastUsedAt) / 10);
         channel.write(message(q.statement.retainedDuplicate(), "fetch", q.trace, "lane=" + q.group + ",ttl="
@@ -295,6 +296,9 @@
             heardAt = lastUsedAt;
             askedAt = -1;
             Submission s = open.get(answer.id());
+            if (s != null) {
+                s.query.heardAt = heardAt;
+            }
             boolean late = spent.contains(answer.id());
             if (answer.fields().get("rep") != null) {
                 front.reported(engine, answer.fields().get("rep"));
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -38,6 +38,7 @@
     private final Clock clock;
     private final Log log;
     private final Timers timers;
+    private final DeadlineMisses misses;
     private final Engines engines;
     private final Control control;
     private final ArrayDeque<Event> events = new ArrayDeque<>();
@@ -71,6 +72,7 @@
         this.clock = new Clock();
         this.log = log;
         this.timers = new Timers(loop, turns, clock, log, limits);
+        this.misses = new DeadlineMisses(limits, clock, timers, log);
         this.engines = new Engines(loop, limits, this);
         this.sumAt = clock.now() + limits.logEvery * 10L;
         deciding = true;
@@ -91,6 +93,10 @@
         return timers;
     }
 
+    DeadlineMisses misses() {
+        return misses;
+    }
+
     Limits limits() {
         return limits;
     }
@@ -286,6 +292,7 @@
         OpenQuery q = new OpenQuery(new Id.Query(++ids), call.id(), client, trace, call.method(),
                 call.body().retain(), Math.min(stayUntil,
                         arrivedAt + Times.nearest(patience)));
+        q.takenAt = arrivedAt;
         q.mark = fields.get("nonce");
         q.paged = kept != null && "1".equals(fields.get("pages"));
         if (q.paged) {
@@ -319,9 +326,10 @@
         }
     }
 
-    /** The client has gone or has revoked it. */
-    void left(OpenQuery q) {
+    /** The client has gone or has revoked it, or the front ended its connection. */
+    void left(OpenQuery q, boolean endedHere) {
         if (!q.answered) {
+            misses.unanswered(q, endedHere);
             q.answered = true;
             on(new Event.Left(q.id));
             forget(q);
--- a/src/main/java/reedspring/net/Limits.java
+++ b/src/main/java/reedspring/net/Limits.java
@@ -54,6 +54,12 @@
     final double largestEstimate = 1e9;
     /** Past a query's time before the front answers for the decisions; the rules allow a little more. */
     final int lastResort = 10;
+    /** Past a query's time after which its answer is told of as late; the rules allow so much more. */
+    final int lateAnswer = 50;
+    /** After a client's end in which a submission of its may still begin, by the rules. */
+    final int sentToGone = 100;
+    /** Late and unanswered queries that are told of one by one in a span; the rest are counted. */
+    final int missesNamed = 8;
     /** The time that clients are named with a refusal, as the deployment has it. */
     final int comeBack;
 
--- a/src/main/java/reedspring/net/OpenQuery.java
+++ b/src/main/java/reedspring/net/OpenQuery.java
@@ -25,6 +25,13 @@
     Submission out;
     boolean answered;
     Timers.Due end;
+    /** For the log, where it is late: 0 where it did not come to that. */
+    long takenAt;
+    long firstSentAt;
+    long heardAt;
+    long decidedAt;
+    /** How long what was decided on may have lain unread by then. */
+    long behind;
 
     OpenQuery(Id.Query id, long messageId, ClientConnection client, String trace, String group,
               ByteBuf statement, long leavesAt) {
