--- a/src/rig/java/reedspring/rig/fleet/EngineHost.java
+++ b/src/rig/java/reedspring/rig/fleet/EngineHost.java
@@ -53,6 +53,8 @@
     final String name;
     final int at;
     final long bornMs;
+    /** The same moment in nanoseconds of the steady clock, to a millisecond. */
+    final long bornAt;
     private final EngineStandIn server;
     private final Machine machine;
     private final List<Attempt> attempts = new ArrayList<>();
@@ -69,6 +71,7 @@
         this.name = name;
         this.at = at;
         this.bornMs = bornMs;
+        this.bornAt = System.nanoTime() - (System.currentTimeMillis() - bornMs) * 1_000_000;
         this.machine = new Machine(table.cores(at), table.memoryMb(), table.sessions(), now(),
                 Terms.COLD_FROM,
                 bornMs == 0 ? 0 : Terms.RAMP_MS * 10L);
--- a/src/rig/java/reedspring/rig/fleet/Rules.java
+++ b/src/rig/java/reedspring/rig/fleet/Rules.java
@@ -4,8 +4,10 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.stream.Collectors;
 import reedspring.rig.Rig;
 import reedspring.rig.fleet.Timetable.Entry;
@@ -33,6 +35,7 @@
     private final Map<String, Long> toldOff = new HashMap<>();
     private final Map<String, Long> toldOn = new HashMap<>();
     private final Map<Integer, Long> downSince = new HashMap<>();
+    private final Map<Integer, Long> startedAgain = new HashMap<>();
     private final Map<Integer, Long> stoppedSince = new HashMap<>();
     private final List<Span> stops = new ArrayList<>();
     private final List<Span> journalFaults = new ArrayList<>();
@@ -78,6 +81,7 @@
 
     /** Started again: until it serves, clients meet nobody. */
     synchronized void starts(int front) {
+        startedAgain.put(front, System.nanoTime());
         excuses.add(new Span(front, downSince.remove(front) - 50 * MS, System.nanoTime() + 6_000 * MS));
     }
 
@@ -203,10 +207,31 @@
                     Long.MAX_VALUE)).mapToDouble(a -> a.work).sum() / usual;
             require(came <= stands + 2 * Math.sqrt(stands) + 2 || knew <= came * 2 / 3, own.get(from),
                     "cold engine pushed over: " + came + " usual queries in its window, " + stands
-                            + " allowed");
+                            + " allowed" + whoPushed(host, own.get(0).at, within, usual));
         }
     }
 
+    /** Times in ms: of the window after the engine's start, of the fronts after the window's start. */
+    private String whoPushed(EngineHost host, long firstEver, List<EngineHost.Attempt> within, double usual) {
+        long first = within.get(0).at;
+        long rampEnds = host.bornAt + Terms.RAMP_MS * MS;
+        StringBuilder told = new StringBuilder(String.format(Locale.ROOT,
+                ", from %d ms after its start, %d ms after its first query; %.1f of it once it was warm",
+                (first - host.bornAt) / MS, (first - firstEver) / MS,
+                within.stream().filter(a -> a.at >= rampEnds).mapToDouble(a -> a.work).sum() / usual));
+        within.stream().collect(Collectors.groupingBy(a -> a.front, TreeMap::new, Collectors.toList()))
+                .forEach((front, sent) -> {
+                    Long knew = toldOn.get(front + "/" + host.name);
+                    Long again = startedAgain.get(front);
+                    told.append(String.format(Locale.ROOT, "; front %d sent %d of work %.1f at %d to %d, %s%s",
+                            front, sent.size(), sent.stream().mapToDouble(a -> a.work).sum() / usual,
+                            (sent.get(0).at - first) / MS, (sent.get(sent.size() - 1).at - first) / MS,
+                            knew == null ? "not told" : "told at " + (knew - first) / MS,
+                            again == null ? "" : ", started again at " + (again - first) / MS));
+                });
+        return told.toString();
+    }
+
     private Tally tally(List<Crowd.Try> tries, List<EngineHost.Attempt> attempts, int excused) {
         int queries = 0;
         int inTime = 0;
