What runs submissions stands behind an interface, and a loop can carry several fronts

Front takes what makes its runner; Engines is the one of the program. Turns tells each of several that a turn has read its sockets, Timers can be stopped, and Startup's reading, following and reloading can be used within the package. No behaviour of a front changes.

--- a/src/main/java/reedspring/net/Engines.java
+++ b/src/main/java/reedspring/net/Engines.java
@@ -14,7 +14,7 @@
 import reedspring.api.Id;
 
 /** The connections to all engines, a few to each. */
-final class Engines {
+final class Engines implements SubmissionRunner {
     private final Limits limits;
     private final Front front;
     private final Rows rows;
@@ -38,7 +38,8 @@
                 .option(ChannelOption.TCP_NODELAY, true);
     }
 
-    void listed(Event.Reading reading, List<Host> hosts) {
+    @Override
+    public void listed(Event.Reading reading, List<Host> hosts) {
         for (Host host : hosts) {
             Id.Engine id = host.listing().engine();
             Link link = links.computeIfAbsent(id, k -> new Link());
@@ -61,7 +62,8 @@
         });
     }
 
-    void send(Id.Engine engine, Submission s) {
+    @Override
+    public void send(Id.Engine engine, Submission s) {
         Link link = links.get(engine);
         if (link == null) {
             front.closed(s, Event.Outcome.UNREACHABLE);
@@ -102,7 +104,8 @@
                         < limits.allEngineConnections;
     }
 
-    void tick(long now) {
+    @Override
+    public void tick(long now) {
         for (Link link : links.values()) {
             for (EngineConnection connection : List.copyOf(link.connections)) {
                 connection.tick(now);
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
 import reedspring.Control;
@@ -38,7 +39,7 @@
     private final Clock clock;
     private final Log log;
     private final Timers timers;
-    private final Engines engines;
+    private final SubmissionRunner engines;
     private final Control control;
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     /** What is known of engines goes before all else that has come. */
@@ -65,13 +66,19 @@
     private long sumAt;
 
     Front(EventLoop loop, Turns turns, Boot boot, Limits limits, Log log, long seed) {
+        this(loop, turns, boot, limits, log, seed, front -> new Engines(loop, limits, front));
+    }
+
+    /** {@code runner} makes what runs submissions; it may not use the front before this has returned. */
+    Front(EventLoop loop, Turns turns, Boot boot, Limits limits, Log log, long seed,
+            Function<Front, SubmissionRunner> runner) {
         this.loop = loop;
         this.boot = boot;
         this.limits = limits;
         this.clock = new Clock();
         this.log = log;
         this.timers = new Timers(loop, turns, clock, log, limits);
-        this.engines = new Engines(loop, limits, this);
+        this.engines = runner.apply(this);
         this.sumAt = clock.now() + limits.logEvery * 10L;
         deciding = true;
         this.control = new Control(seed, boot.deployment(), clock.now(), this::act);
--- a/src/main/java/reedspring/net/Startup.java
+++ b/src/main/java/reedspring/net/Startup.java
@@ -46,7 +46,7 @@
     }
 
     /** All that the configuration file tells. */
-    private record Orders(String name, InetSocketAddress listen, InetSocketAddress journal, long seed,
+    record Orders(String name, InetSocketAddress listen, InetSocketAddress journal, long seed,
                           Map<?, ?> known, Boot boot, Limits limits) {
         static Orders read(String path) throws BootException {
             Map<?, ?> file = file(path);
@@ -169,6 +169,11 @@
             additions.join(front, loop, orders.name());
         }
         raised.set(front);
+        return follow(loop, front, orders);
+    }
+
+    /** Has the front hear what is known of engines, and what the journal service tells from then on. */
+    static Journal follow(EventLoop loop, Front front, Orders orders) throws BootException {
         Journal journal = new Journal(loop, front, orders.limits(), orders.journal(), ~orders.seed());
         front.newsFrom(journal::readNow);
         journal.known(orders.known());
@@ -180,7 +185,7 @@
      * Takes over the journal service's address, the one thing that can change under a front that serves: the
      * rest is what its decisions and limits were made from. A file that can't be used changes nothing.
      */
-    private static void reload(EventLoop loop, Front front, Journal journal, String path) {
+    static void reload(EventLoop loop, Front front, Journal journal, String path) {
         try {
             InetSocketAddress service = Orders.read(path).journal();
             loop.execute(() -> {
--- a/src/main/java/reedspring/net/Timers.java
+++ b/src/main/java/reedspring/net/Timers.java
@@ -15,6 +15,8 @@
     private final Clock clock;
     private final Log log;
     private final Limits limits;
+    private final Turns turns;
+    private final Runnable read = this::read;
     private final PriorityQueue<Due> queue = new PriorityQueue<>(
             Comparator.comparingLong((Due due) -> due.at).thenComparingLong(due -> due.order));
     private long order;
@@ -22,6 +24,7 @@
     private long alarmAt = Long.MAX_VALUE;
     private long behindSince = Long.MAX_VALUE;
     private boolean readFirst;
+    private boolean stopped;
 
     static final class Due {
         private final long at;
@@ -40,16 +43,29 @@
         this.clock = clock;
         this.log = log;
         this.limits = limits;
-        turns.afterReading(this::read);
+        this.turns = turns;
+        turns.afterReading(read);
     }
 
     Due at(long time, Runnable what) {
         Due due = new Due(time, order++, what);
-        queue.add(due);
-        arm();
+        if (!stopped) {
+            queue.add(due);
+            arm();
+        }
         return due;
     }
 
+    /** Nothing is due any more. For a front that ends while its loop goes on with others. */
+    void stop() {
+        stopped = true;
+        queue.clear();
+        turns.noMore(read);
+        if (alarm != null) {
+            alarm.cancel(false);
+        }
+    }
+
     Due in(long tenths, Runnable what) {
         return at(clock.now() + tenths, what);
     }
--- a/src/main/java/reedspring/net/Turns.java
+++ b/src/main/java/reedspring/net/Turns.java
@@ -7,6 +7,8 @@
 import io.netty.channel.IoRegistration;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.ThreadAwareExecutor;
+import java.util.ArrayList;
+import java.util.List;
 
 /**
  * The turns of one event loop: says when a turn has read the sockets that were ready. The loop's own tasks
@@ -14,11 +16,15 @@
  */
 final class Turns implements IoHandlerFactory {
     private final IoHandlerFactory sockets = NioIoHandler.newFactory();
-    private Runnable afterReading = () -> { };
+    private final List<Runnable> afterReading = new ArrayList<>();
 
-    /** On the loop's thread only, like all that it calls. */
+    /** On the loop's thread only, like all that it calls. Each is called, in the order in which they came. */
     void afterReading(Runnable what) {
-        afterReading = what;
+        afterReading.add(what);
+    }
+
+    void noMore(Runnable what) {
+        afterReading.remove(what);
     }
 
     @Override
@@ -28,7 +34,7 @@
             @Override
             public int run(IoHandlerContext context) {
                 int handled = made.run(context);
-                afterReading.run();
+                afterReading.forEach(Runnable::run);
                 return handled;
             }
 
