Control reads a list of engines in the time of its rows, not of their square

Cause: for each row of a list listed() went over the whole fleet for the name, freeRow() over all rows and, for each that had gone, over all queries; a whole list looked for each engine in a list of names; and Spread.listed sorted all engines for each row.

Now names are in a hash index beside the fleet, the names of a whole list in a set, and rows of engines that have gone in a bit set from which one pass for a list, made when its first new engine comes, takes out what queries still refer to. It yields the same rows as before, the smallest free index first, as rows decide ties. Nothing becomes free within one list: rows go by notes, which are read after it. Engines that a whole list does not name and that have gone already are sent no second note; it changed nothing. Spread marks what is listed and sorts when it is next asked, so once for a whole list; draws of chance are where they were. Load reports go by the index.

--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -3,13 +3,17 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.BitSet;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.PrimitiveIterator;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.IntToDoubleFunction;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import reedspring.api.Action;
 import reedspring.api.Deployment;
@@ -88,6 +92,9 @@
     private final ArrayDeque<Part> turns = new ArrayDeque<>();
     private final Desk desk;
     private final List<Engine> fleet = new ArrayList<>();
+    private final Map<Id.Engine, Engine> byId = new HashMap<>();
+    // Rows whose engines have gone. Something may still refer to them.
+    private final BitSet goneRows = new BitSet();
     private final Purse[] purses;
     private Consumer<Action> out;
     private final long bornAt;
@@ -139,8 +146,10 @@
                 post(fleet.get(q.outAt), engine -> engine.progress(q, share));
             }
         } else if (event instanceof Event.LoadReported report) {
-            fleet.stream().filter(engine -> engine.id.equals(report.engine())).findAny()
-                    .ifPresent(engine -> post(engine, part -> spread.heard(part.at, report.load(), now)));
+            Engine engine = byId.get(report.engine());
+            if (engine != null) {
+                post(engine, part -> spread.heard(part.at, report.load(), now));
+            }
         } else {
             post(desk, part -> part.word(event));
         }
@@ -198,18 +207,25 @@
 
     private void listed(Event.EnginesListed list) {
         if (list.reading() != Event.Reading.CHANGES) {
-            List<Id.Engine> named = list.entries().stream().map(Event.Listing::engine).toList();
-            fleet.stream().filter(engine -> !named.contains(engine.id)).forEach(engine -> post(engine,
-                    part -> part.listed(new Event.Listing(part.id, part.kind, part.zone, part.cell,
-                            Event.Health.GONE, 0))));
+            Set<Id.Engine> named = list.entries().stream().map(Event.Listing::engine)
+                    .collect(Collectors.toSet());
+            fleet.stream().filter(engine -> !engine.gone && !named.contains(engine.id))
+                    .forEach(engine -> post(engine, part -> part.listed(new Event.Listing(part.id, part.kind,
+                            part.zone, part.cell, Event.Health.GONE, 0))));
         }
+        PrimitiveIterator.OfInt free = null;
         for (Event.Listing listing : list.entries()) {
-            Engine engine = fleet.stream().filter(e -> e.id.equals(listing.engine())).findAny().orElse(null);
+            Engine engine = byId.get(listing.engine());
             if (engine == null && listing.health() != Event.Health.GONE) {
-                int at = freeRow();
-                engine = new Engine(listing, at);
-                fleet.subList(at, Math.min(at + 1, fleet.size())).clear();
-                fleet.add(at, engine);
+                // No other row becomes free before the notes to the engines are read.
+                free = free == null ? freeRows() : free;
+                engine = new Engine(listing, free.hasNext() ? free.nextInt() : fleet.size());
+                if (engine.at < fleet.size()) {
+                    byId.remove(fleet.set(engine.at, engine).id);
+                } else {
+                    fleet.add(engine);
+                }
+                byId.put(engine.id, engine);
             }
             if (engine != null) {
                 post(engine, part -> part.listed(listing));
@@ -218,11 +234,15 @@
         post(desk, Desk::release);
     }
 
-    /** A row to which nothing refers any more, or a new one: engines come and go while the front lives. */
-    private int freeRow() {
-        return IntStream.range(0, fleet.size()).filter(k -> fleet.get(k).gone && ownQueries[k] == 0
-                && fleet.get(k).ghosts.isEmpty() && desk.queries.values().stream().noneMatch(
-                        q -> q.avoid == k || q.ranAt == k)).findFirst().orElse(fleet.size());
+    /** Rows to which nothing refers any more, in order: engines come and go while the front lives. */
+    private PrimitiveIterator.OfInt freeRows() {
+        BitSet free = new BitSet();
+        goneRows.stream().filter(k -> ownQueries[k] == 0 && fleet.get(k).ghosts.isEmpty()).forEach(free::set);
+        if (!free.isEmpty()) {
+            desk.queries.values().forEach(q ->
+                    IntStream.of(q.avoid, q.ranAt).filter(k -> k >= 0).forEach(free::clear));
+        }
+        return free.stream().iterator();
     }
 
     /** How many rows, queries and keys are held, for those who watch that none is kept for good. */
@@ -272,6 +292,7 @@
             cell = listing.cell();
             up[at] = listing.health() == Event.Health.UP;
             gone = listing.health() == Event.Health.GONE;
+            goneRows.set(at, gone);
             Deployment.Machine machine = house.machines().get(kind);
             // An engine of unknown size counts as the mean of the known kinds, or as one query's threads.
             cores[at] = machine != null && machine.cores() > 0 ? machine.cores()
--- a/src/main/java/reedspring/spread/Spread.java
+++ b/src/main/java/reedspring/spread/Spread.java
@@ -60,6 +60,7 @@
     private double[] credit = new double[8];
     private long[] creditAt = new long[8];
     private double[] told = new double[8];
+    private boolean unsorted;
     private int ups;
     private double smallest = 1;
     private int busy;
@@ -88,22 +89,31 @@
             ids[at] = engine;
             out[at] = 0;
             told[at] = 1;
+            // Rendezvous: what comes or goes moves no other. Sizes count by turns; in both they would count
+            // twice.
+            rank[at] = unit(engine);
             renewed(at, bornAt);
         }
         up[at] = isUp;
         cores[at] = itsCores;
-        // Rendezvous: what comes or goes moves no other. Sizes count by turns; in both they would count
-        // twice.
-        rank[at] = unit(engine);
-        List<Integer> order = new ArrayList<>(IntStream.range(0, rows).filter(k -> up[k]).boxed().toList());
-        order.sort(Comparator.comparingDouble(k -> rank[k]));
+        unsorted = true;
+    }
+
+    /** The order of what is listed now: made when it is next asked for, once for a whole list. */
+    private void sort() {
+        if (!unsorted) {
+            return;
+        }
+        unsorted = false;
+        int[] order = IntStream.range(0, rows).filter(k -> up[k]).boxed()
+                .sorted(Comparator.comparingDouble(k -> rank[k])).mapToInt(k -> k).toArray();
         Arrays.fill(place, Integer.MAX_VALUE);
-        for (int k = 0; k < order.size(); k++) {
-            place[order.get(k)] = k;
+        for (int k = 0; k < order.length; k++) {
+            place[order[k]] = k;
         }
-        ups = order.size();
-        smallest = order.stream().mapToDouble(k -> cores[k]).filter(c -> c > 0).min().orElse(1);
-        turn();
+        ups = order.length;
+        smallest = Arrays.stream(order).mapToDouble(k -> cores[k]).filter(c -> c > 0).min().orElse(1);
+        narrow();
     }
 
     /** A new process in the row. */
@@ -118,13 +128,13 @@
     public void sent(int at, double weight) {
         credit[at] -= weight;
         busy += out[at]++ == 0 ? 1 : 0;
-        turn();
+        narrow();
     }
 
     public void ended(int at, long took) {
         busy -= --out[at] == 0 ? 1 : 0;
         usualTook += (usualTook == 0 ? 1 : 0.05) * (took - usualTook);
-        turn();
+        narrow();
     }
 
     /** A load report, by the time at which it came. */
@@ -152,6 +162,7 @@
     public double turn(int at, int ownThreads, double worth, long now) {
         double free = 1 - (ownThreads - steps(at, ownThreads)) / units(at);
         double due = -Math.log(1 - chance.nextDouble()) / Math.max(1e-3, worth * free * trust(at, now));
+        sort();
         return (place[at] < circle ? 0 : 1) + due / (1 + due);
     }
 
@@ -165,15 +176,18 @@
     }
 
     private double units(int at) {
+        sort();
         return Math.max(1, cores[at] / smallest);
     }
 
     /** Whether the front turns to it first, all else being equal. */
     public boolean home(int at) {
+        sort();
         return place[at] < circle;
     }
 
     public int circle() {
+        sort();
         return circle;
     }
 
@@ -194,13 +208,14 @@
      * So many engines that, all fronts drawing blindly, hardly one is left out of every circle, also when
      * most fronts have just died. Among few fronts that is all engines, and nothing is narrowed.
      */
-    private void turn() {
+    private void narrow() {
         double each = ups * Math.log(Math.max(1, ups / LEFT_OUT)) / (FRONTS_STAYING * house.fronts());
         circle = Math.max(LEAST_CIRCLE, Math.max((int) Math.ceil(each), CIRCLE_A_BUSY_ONE * busy));
     }
 
     /** Of a number of fronts, how many have the engine in their circle and so come to know how it is. */
     private double knowing() {
+        sort();
         return Math.max(1, house.fronts() * Math.min(1, circle / Math.max(1.0, ups)));
     }
 
