--- a/src/main/java/reedspring/net/EngineConnection.java
+++ b/src/main/java/reedspring/net/EngineConnection.java
@@ -112,6 +112,15 @@
         return open.size();
     }
 
+    /** Whether nothing is out on it nor still to come, so that its end costs no query anything. */
+    boolean rests() {
+        return up && open.isEmpty() && running.isEmpty();
+    }
+
+    long lastUsedAt() {
+        return lastUsedAt;
+    }
+
     boolean takes(Submission s) {
         // What is still to come here of an earlier submission could not be told from this one's: an answer
         // has only the query's id, and pages of two runs must not end up in one result.
--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -568,6 +568,27 @@
         serves();
     }
 
+    /** A quarter of 128 descriptors is for engines: what rests at one has to make room for the next. */
+    @Example
+    void moreEnginesThanConnectionsServeAll() throws Exception {
+        EngineStandIn engine = engine(1);
+        String[] hosts = new String[100];
+        for (int k = 0; k < hosts.length; k++) {
+            hosts[k] = host("e" + k, engine.address(), "ready");
+        }
+        journal = open(new JournalStandIn());
+        front = open(new Program(Program.config(Program.freeAddress(), journal.address(),
+                event(1, true, hosts)).replace("\"sockets\":1024", "\"sockets\":128"))).ready();
+        Client client = client();
+        for (int id = 1; id <= 300; id++) {
+            List<?> answer = client.send(Client.query(id, Client.trace(), PATIENCE, "select")).read();
+            assertNull(Client.error(answer), answer::toString);
+        }
+        assertFalse(front.logged("engine connections at their limit"), front.log::toString);
+        assertTrue(engine.accepted.size() > 64, "many were dialled: " + engine.accepted.size());
+        await("the end of those that made room", () -> engine.accepted.size() - engine.left.size() <= 32);
+    }
+
     @Example
     void theJournalIsResumedByNumberAndWhatItSaysWrongKeepsTheList() throws Exception {
         EngineStandIn first = engine(1);
