An engine that comes back in the list that names a new one keeps its row, and is not lost to it

Cause: rows of engines that have gone are given to new ones while a list is read, and what the list says is told to the engines after it. Where one list named a new engine and, before it, one that had gone and was ready again, the new one could take the other's row: the one that had come back was in no list any more until the next list that named it. Now the rows of all that the list names as not gone are kept.

Beside it, of an engine that a list names twice the last row counts, once; that held before.

--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -218,7 +218,7 @@
             Engine engine = byId.get(listing.engine());
             if (engine == null && listing.health() != Event.Health.GONE) {
                 // No other row becomes free before the notes to the engines are read.
-                free = free == null ? freeRows() : free;
+                free = free == null ? freeRows(list.entries()) : free;
                 engine = new Engine(listing, free.hasNext() ? free.nextInt() : fleet.size());
                 if (engine.at < fleet.size()) {
                     byId.remove(fleet.set(engine.at, engine).id);
@@ -235,12 +235,15 @@
     }
 
     /** Rows to which nothing refers any more, in order: engines come and go while the front lives. */
-    private PrimitiveIterator.OfInt freeRows() {
+    private PrimitiveIterator.OfInt freeRows(List<Event.Listing> named) {
         BitSet free = new BitSet();
         goneRows.stream().filter(k -> ownQueries[k] == 0 && fleet.get(k).ghosts.isEmpty()).forEach(free::set);
         if (!free.isEmpty()) {
             desk.queries.values().forEach(q ->
                     IntStream.of(q.avoid, q.ranAt).filter(k -> k >= 0).forEach(free::clear));
+            // One that comes back by this list keeps its row: it would be lost to a new one.
+            named.stream().filter(row -> row.health() != Event.Health.GONE && byId.containsKey(row.engine()))
+                    .forEach(row -> free.clear(byId.get(row.engine()).at));
         }
         return free.stream().iterator();
     }
--- a/src/test/java/reedspring/ControlTest.java
+++ b/src/test/java/reedspring/ControlTest.java
@@ -297,6 +297,40 @@
         assertTrue(house.control.held() <= 24, "held: " + house.control.held());
     }
 
+    /** Which of two rows of one name is right nobody can tell; the later one has not been replaced. */
+    @Example
+    void ofAnEngineThatAListNamesTwiceTheLastRowCountsOnce() {
+        for (Reading reading : List.of(Reading.CHANGES, Reading.COMPLETE)) {
+            House house = calm(2, plain());
+            Listing ready = House.engine(9, Health.UP, 0);
+            Listing drains = House.engine(9, Health.DRAINING, 0);
+            int held = house.control.held();
+            house.list(reading, House.engine(8, Health.UP, 0), drains, House.engine(7, Health.UP, 0), ready);
+            assertEquals(held + 3, house.control.held());
+            assertTrue(submitsTo(house, "e9") > 0, "ready by its last row");
+            house.list(reading, House.engine(8, Health.UP, 0), ready, House.engine(7, Health.UP, 0), drains);
+            assertEquals(held + 3, house.control.held());
+            assertEquals(0, submitsTo(house, "e9"), "drains by its last row");
+        }
+    }
+
+    /** Its row may be free by then, and the new engine would take it with all that the list says of it. */
+    @Example
+    void anEngineThatComesBackBesideANewOneIsNotLostToIt() {
+        House house = calm(3, plain());
+        house.list(Reading.CHANGES, House.engine(1, Health.GONE, 0));
+        house.list(Reading.CHANGES, House.engine(1, Health.UP, 0), House.engine(5, Health.UP, 0));
+        assertTrue(submitsTo(house, "e1") > 0 && submitsTo(house, "e5") > 0, house.submits::toString);
+    }
+
+    private static long submitsTo(House house, String name) {
+        house.submits.clear();
+        for (int k = 0; k < 60; k++) {
+            serve(house, house.take(0, 0, 2_000, 50_000, null), 200);
+        }
+        return house.submits.stream().filter(s -> s.engine().address().equals(name)).count();
+    }
+
     @Example
     void aLightTenantGoesFirstAndEachTenantKeepsItsOrder() {
         House house = calm(1, plain());
