The rig counts a cold engine's ramp from its start, and no warm engine's load as a fall

Rules counted the ramp from the engine's first query (710 ms after its start in that play), and a window that began in the ramp went on past its end. The settings' ramp counts from the start that the list names (born_ms), as fronts and VirtualFleet do. cold.ini asks for more than its engines can do, so a warm engine gets more in a second than cold_multiple = 1 lets a cold one have.

Ruled out by that play: late lists (all ten fronts told 5.4 s or more before the window), restarts (the last 3.0 s before), late connections and held submissions (each front's are spread over the whole window).

A window that reaches past the ramp still counts all that came before its end.

RulesTest had no test of this rule; three now: 16 of 17 queries stand, the 17th breaks; who had been told; start, ramp and the window over its end.

--- a/src/test/java/reedspring/rig/fleet/RulesTest.java
+++ b/src/test/java/reedspring/rig/fleet/RulesTest.java
@@ -141,4 +141,88 @@
         tries.get(1).sent = true;
         broken("no answer");
     }
+
+    /** What front {@code from} sends to a cold engine at once, each 2.3 usual queries. */
+    private void sentCold(EngineHost host, int from, int count, long atMs) {
+        for (int k = 0; k < count; k++) {
+            attempts.add(new EngineHost.Attempt(new EngineStandIn.Command(List.of("fetch", "t" + attempts
+                    .size(), "-", ""), null, host.bornAt + atMs * MS), from, host.name, 5_000));
+        }
+    }
+
+    private EngineHost cold() throws Exception {
+        EngineHost host = new EngineHost(table, 0, "e0-1", System.currentTimeMillis());
+        rules.told(0, host.name, "ready");
+        return host;
+    }
+
+    private void pushed(EngineHost host, String... how) {
+        AssertionError error = assertThrows(AssertionError.class, () -> rules.check(tries, attempts, List.of(
+                host)));
+        assertTrue(error.getMessage().contains("cold engine pushed over"), error.getMessage());
+        for (String word : how) {
+            assertTrue(error.getMessage().contains(word), error.getMessage());
+        }
+        attempts.clear();
+    }
+
+    /** {@code part}: at least so much of what makes it fall. */
+    private void stands(EngineHost host, double part) {
+        double most = rules.check(tries, attempts, List.of(host)).cold();
+        assertTrue(most > part, "of what makes it fall: " + most);
+        attempts.clear();
+    }
+
+    /** A second after its start 4 cores stand 25.3 usual queries, and 12.1 for chance: 16, not 17. */
+    @Example
+    void aColdEngineThatIsPushedOver() throws Exception {
+        try (EngineHost host = cold()) {
+            sentCold(host, 0, 16, 1_000);
+            stands(host, 0.95);
+            sentCold(host, 0, 16, 1_000);
+            sentCold(host, 0, 1, 1_900);
+            pushed(host, "from 1000 ms after its start, 0 ms after its first query",
+                    "front 0 sent 17 of work 39.1 at 0 to 900, told at -");
+        }
+    }
+
+    /** All fronts together; over two thirds have to come from fronts that had been told. */
+    @Example
+    void aColdEnginesFallCountsByWhoHadBeenTold() throws Exception {
+        try (EngineHost host = cold()) {
+            sentCold(host, 0, 14, 1_000);
+            sentCold(host, 1, 6, 1_000);
+            pushed(host, "front 1 sent 6 of work 13.8 at 0 to 0, not told");
+            sentCold(host, 0, 13, 1_000);
+            sentCold(host, 1, 7, 1_000);
+            stands(host, 0.95);
+            rules.told(1, host.name, "ready");
+            sentCold(host, 0, 9, 1_000);
+            sentCold(host, 1, 8, 1_000);
+            pushed(host, "front 0 sent 9", "front 1 sent 8");
+        }
+    }
+
+    /**
+     * cold.ini on processes, seed 1: the ramp was counted from the engine's first query, 710 ms after its
+     * start, and the load of the warm engine, 6,479 ms after its start, was taken for a fall.
+     */
+    @Example
+    void anEngineIsColdFromItsStartAndForItsRampOnly() throws Exception {
+        try (EngineHost host = cold()) {
+            sentCold(host, 0, 10, 710);
+            sentCold(host, 0, 60, 6_001);
+            stands(host, 0.6);
+            // In a window that goes on after the ramp what came before its end counts, all of it.
+            sentCold(host, 0, 30, 5_900);
+            sentCold(host, 0, 60, 6_001);
+            stands(host, 0.95);
+            sentCold(host, 0, 30, 5_900);
+            sentCold(host, 0, 2, 5_999);
+            pushed(host);
+            // Late as its first query may be, what it stands then goes by its start.
+            sentCold(host, 0, 32, 5_000);
+            pushed(host);
+        }
+    }
 }
