A front's whole query of a cold engine passes with its turn where its part is under one

Fronts that ask for nothing save up one each; what the engine stands grows over its ramp only. With a ramp of 15 s, a window of 1 s, a start at 0.35 and a multiple of 2, 200 fronts that asked for nothing for 4 s and then all at once sent 61 queries in a second, where 41.9 and 14.9 for chance are allowed.

Changed: the whole query lasts for a turn only, so long that what all keep and what flows in over a window fits into what the engine stands by then; then the part fills anew at the same rate. Where the engine's pace grows as fast (a window of 3 s, a ramp of 15 s from 0.31) the turn is the whole ramp, and nothing changes but that what has filled beyond one query stays for the next.

SpreadTest.hundredsOfFrontsThatAskedForNothingPushNoColdEngineOverAtOnce (30, 200 and 1,000 fronts, 1 to 14 s) fails without it.

--- a/src/main/java/reedspring/spread/Spread.java
+++ b/src/main/java/reedspring/spread/Spread.java
@@ -218,7 +218,9 @@
     /**
      * Whether a query of that usual work fits into this front's part of what a cold engine stands. The part
      * fills over the rule's window. A front that has just started can't know what it sent before, and sends
-     * nothing for a window.
+     * nothing for a window. A part under one query fills to one in its turn, and the turn passes: kept for
+     * good, hundreds of fronts that had asked for nothing for some seconds had a query each, more in all than
+     * the engine stands.
      *
      * @param weight the query's usual work in that of the lightest group, {@code lightest}
      */
@@ -228,9 +230,27 @@
             return false;
         }
         double rate = COLD_PART * rule.multiple() * rule.from() * cores[at] / house.fronts() / lightest;
-        credit[at] = Math.min(credit[at] + rate * (now - creditAt[at]), Math.max(rate * rule.window(), 1));
+        double most = Math.max(rate * rule.window(), 1);
+        double round = 1 + rate * turnLasts(rule);
+        credit[at] += rate * (now - creditAt[at]);
         creditAt[at] = now;
-        return weight <= credit[at];
+        if (round >= 2) {
+            credit[at] = Math.min(credit[at], most);
+        } else if (credit[at] >= round) {
+            credit[at] %= round;
+        }
+        return weight <= Math.min(credit[at], most);
+    }
+
+    /**
+     * How long a front may keep a whole query while its part is under one. What all keep and what flows in
+     * over a window has to fit into what the engine stands by then, which grows over its ramp; where it grows
+     * as fast as that, for all of it.
+     */
+    private static double turnLasts(Deployment.ColdStart rule) {
+        double grows = (1 / rule.from() - 1) / rule.ramp();
+        double left = COLD_PART / rule.window() - grows;
+        return left <= 0 ? rule.ramp() : Math.min(rule.ramp(), (1 - COLD_PART) / left);
     }
 
     // ---- phases
--- a/src/test/java/reedspring/spread/SpreadTest.java
+++ b/src/test/java/reedspring/spread/SpreadTest.java
@@ -24,11 +24,15 @@
     private static final double WORK = 2_000;
 
     private static Deployment house(int fronts) {
+        return house(fronts, new Deployment.ColdStart(0.3, 10 * SECOND, 3, 2 * SECOND));
+    }
+
+    private static Deployment house(int fronts, Deployment.ColdStart coldStart) {
         return new Deployment(fronts, List.of(new Deployment.ResourceGroup(SECOND, 2, 1, 0, 1,
                 Effect.READ_ONLY,
                 Recognised.ALL, 0, false, null, null)), List.of(), Map.of(),
                 new Deployment.Allowed(false, true, false, 3, SECOND / 2), new Deployment.Discovery(false, 0),
-                new Deployment.ColdStart(0.3, 10 * SECOND, 3, 2 * SECOND), null, 0, 1, 2 * SECOND, true);
+                coldStart, null, 0, 1, 2 * SECOND, true);
     }
 
     private static Spread front(long seed, int fronts, double... cores) {
@@ -313,6 +317,40 @@
         }
     }
 
+    /**
+     * Each front's part is under a query, and nobody asks for anything for some seconds; then all do at once.
+     * A ramp of many windows: what the engine stands grows by less than what the fronts would save up.
+     */
+    @Example
+    void hundredsOfFrontsThatAskedForNothingPushNoColdEngineOverAtOnce() {
+        Deployment.ColdStart rule = new Deployment.ColdStart(0.35, 15 * SECOND, 2, SECOND);
+        for (int fronts : new int[] {30, 200, 1000}) {
+            for (int idle = 1; idle < 15; idle++) {
+                long born = START + 60 * SECOND;
+                List<Spread> all = new ArrayList<>();
+                for (int f = 0; f < fronts; f++) {
+                    Spread spread = new Spread(f, house(fronts, rule), START);
+                    spread.listed(0, engine(0), 8, true);
+                    spread.renewed(0, born);
+                    all.add(spread);
+                }
+                int came = 0;
+                for (long now = born + idle * SECOND; now < born + (idle + 1) * SECOND; now += 100) {
+                    for (Spread spread : all) {
+                        if (spread.coldRoom(0, 1, WORK, now)) {
+                            spread.sent(0, 1);
+                            came++;
+                        }
+                    }
+                }
+                double stands = 2 * (0.35 + 0.65 * idle / 15) * 8 / 0.2;
+                assertTrue(came <= stands + 2 * Math.sqrt(stands) + 2, came + " of " + stands + ", " + fronts
+                        + " fronts, " + idle + " s");
+                assertTrue(came > 0.2 * 0.35 * 2 * 8 / 0.2, "and it is used: " + came);
+            }
+        }
+    }
+
     @Example
     void aFrontThatHasJustStartedSendsColdEnginesNothing() {
         Spread spread = front(1, 1, alike(2));
