Cold engines stand under their ration alone, and no longer behind the gate to warm ones

The bound is at its least, 4 threads a front, and full of runs on drowned warm engines (16 of 40), while each front has 2 to 12 cold engines whose ration has room: the gate, which counted all engines together, shut them out. And the cold engines' cores, which the ration keeps free, were filled on the warm ones, as the bound counted them.

At fault: Desk.bound, threadsOut and the break at the gate in Desk.release. Now the bound and what is out count on warm engines only, and a query that the gate stops may leave for a cold engine with room, if it would end there in time; where a long one waits at the gate, one of another group may. The ration itself (Spread.coldRoom) is as it was.

Both new tests fail without it (12 threads, 14 before; none of 4 to 6 sent). The rule on cold engines has less to spare than before, as the ration is used up now.

--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -649,10 +649,15 @@
             }
         }
 
+        /** On warm engines. A cold one stands under its ration, which is less than its cores would bear. */
         private double bound() {
+            return bound(overOpen(k -> cold(k) ? 0 : worth(k)));
+        }
+
+        private double bound(double worths) {
             // What was grown goes first: at the least of the factor nothing is left of it.
             double least = LEAST_BOUND / house.fronts() / share();
-            return Math.max(mostThreads, ownThreadsAtStart() * factor
+            return Math.max(mostThreads, worths * THREADS_PER_CORE * share() * factor
                     + grown * Math.max(0, factor - least) / Math.max(1e-3, 1 - least));
         }
 
@@ -686,7 +691,7 @@
 
         /** What sits on a barred engine would otherwise shut the gate to all the others. */
         private double threadsOut() {
-            return overOpen(k -> ownThreads[k]);
+            return overOpen(k -> cold(k) ? 0 : ownThreads[k]);
         }
 
         /** Lets one query go and calls itself by a note, so that the next sees the engine's new row. */
@@ -702,7 +707,7 @@
             int[] groupThreads = new int[waitingIn.length];
             List<Query> running = queries.values().stream()
                     .filter(q -> q.outAt >= 0 && !q.lost && !barred[q.outAt]).toList();
-            running.forEach(q -> groupThreads[q.group] += q.threads);
+            running.forEach(q -> groupThreads[q.group] += cold(q.outAt) ? 0 : q.threads);
             // One large query, let out on an idle front, would shut out all small ones while it runs.
             memoryRoom = ownPart - overOpen(k -> ownMemory[k]) + Math.max(0, running.stream()
                     .mapToDouble(q -> q.needMb).max().orElse(0) - ownPart * MOST_OF_ONE_QUERY);
@@ -714,6 +719,7 @@
                     blocked |= groupThreads[k] > bound * MOST_OF_ONE_GROUP ? 1 << Math.min(k, 30) : 0;
                 }
                 int unfit = 0;
+                boolean shut = false;
                 double unfitMb = Double.MAX_VALUE;
                 for (Query q : purse.line) {
                     // The ration is asked again: it may have shrunk since the query came back here.
@@ -724,13 +730,11 @@
                     }
                     double cost = q.threads * expected(q);
                     boolean over = q.threads > room && !idle;
-                    if (over && cost > unusedThreads) {
-                        boundMetAt = now;
-                        break;
-                    }
-                    int at = choose(q);
+                    shut |= over && cost > unusedThreads;
+                    boundMetAt = shut ? now : boundMetAt;
+                    int at = choose(q, shut);
                     if (at >= 0) {
-                        unusedThreads -= over ? cost : 0;
+                        unusedThreads -= over && !cold(at) ? cost : 0;
                         unusedMemory -= q.needMb > memoryRoom ? q.needMb * expected(q) : 0;
                         send(q, at);
                         post(this, Desk::release);
@@ -739,6 +743,7 @@
                     // No engine of its own takes it; a query of another group may still leave, and where
                     // memory is what lacks, one that needs less: large ones would hold up all behind them.
                     // It has to fit by itself: what stood unused is left to those that wait for it.
+                    // Where the gate is shut, cold engines may have room for the other group's.
                     q.crowdedOut = crowded;
                     unfitMb = crowded ? Math.min(unfitMb, Math.min(q.needMb, memoryRoom)) : unfitMb;
                     unfit |= crowded ? bit : 0;
@@ -769,13 +774,17 @@
             return lines;
         }
 
-        /** The engine with fewest own threads for each core of those that can take the query, or -1. */
-        private int choose(Query q) {
+        /**
+         * The engine with fewest own threads for each core of those that can take the query, or -1. Where the
+         * gate is shut, a cold one that it would end on in time: what is out on warm engines says nothing of
+         * the others, and half of a fleet may just have been replaced.
+         */
+        private int choose(Query q, boolean shut) {
             int best = -1;
             crowded = false;
             double least = Double.MAX_VALUE;
             for (int k = 0; k < fleet.size(); k++) {
-                if (!allowed(q, k) || cold(k)
+                if (!allowed(q, k) || shut && !cold(k) || cold(k)
                         && !spread.coldRoom(k, usualWork[q.group] / lightest(), lightest(), now)) {
                     continue;
                 }
@@ -789,6 +798,9 @@
                 }
                 // Engines too slow for its target come after all others, and the one that failed it last.
                 boolean late = now + q.work / q.threads * slowness(k) > q.target;
+                if (shut && late) {
+                    continue;
+                }
                 double worth = worth(k);
                 double load = spread.steps(k, ownThreads[k]) / worth
                         + 1e-6 * spread.turn(k, ownThreads[k], worth, now)
@@ -1115,7 +1127,7 @@
                     backlog += q.work;
                 }
             }
-            double rate = bound() / Math.exp(Math.max(0, stretch));
+            double rate = bound(overOpen(Control.this::worth)) / Math.exp(Math.max(0, stretch));
             held.sort(Comparator.comparingDouble(q -> value(q) / q.work));
             for (int k = 0; k < held.size() && backlog / rate > soonest * 0.4; k++) {
                 backlog -= held.get(k).work;
--- a/src/test/java/reedspring/ControlTest.java
+++ b/src/test/java/reedspring/ControlTest.java
@@ -466,6 +466,42 @@
         assertEquals(1, q.submissions);
     }
 
+    private static Listing cold(House house) {
+        return new Listing(new Id.Engine("cold"), new Id.Kind("m"), new Id.Zone("z0"), new Id.Cell(0),
+                Health.UP, house.now);
+    }
+
+    /** join+mass: the gate was shut by what was out on warm engines, while new ones stood idle. */
+    @Example
+    void aColdEngineTakesItsRationWhileTheGateToWarmOnesIsShut() {
+        House house = calm(1, plain());
+        house.pass(5 * SECOND / 2);
+        Held last = null;
+        for (int k = 0; k < 60; k++) {
+            last = house.take(0, 0, 2_000, 50_000, null);
+        }
+        assertEquals(null, last.out, "the gate is shut");
+        int warm = house.submits.size();
+        house.list(Reading.CHANGES, cold(house));
+        house.pass(6 * SECOND / 10);
+        long atCold = house.submits.stream().filter(s -> s.engine().address().equals("cold")).count();
+        // 0.4 of 3 x 0.3 x 8 cores, half of it this front's, is 7 queries of 0.2 s a second.
+        assertTrue(atCold >= 4 && atCold <= 6, "its ration: " + atCold);
+        assertEquals(warm, house.submits.size() - atCold, "and the warm one its bound");
+    }
+
+    /** What a ration keeps off cold engines must not be put on the warm ones beside them. */
+    @Example
+    void coldEnginesAddNothingToTheBoundOnWarmOnes() {
+        House house = calm(1, plain());
+        house.list(Reading.CHANGES, cold(house));
+        for (int k = 0; k < 30; k++) {
+            house.take(0, 0, 2_000, 50_000, null);
+        }
+        // 8 cores, half of them this front's, 2 threads a core, and one long query's 4
+        assertEquals(12, house.submits.size());
+    }
+
     /** A front that has just started can't know what it sent to a cold engine before. */
     @Example
     void aFrontJustStartedSendsNothingToAColdEngineForAWindow() {
