The listener ends only when all that wait to be accepted are; each crossing of the end is forced

The crossings beside it, forced in EndingsIT: answers that become ready at eight stages of the end (100 ms before SIGTERM to 3.05 s after it), four on a connection, for a client that reads nothing for 0.2 s; connections that close in order with six answers unsent, the front told to end 0.9 s and 0.05 s after that and 0.3 and 0.78 s before it, read 0.2 s later or at 3.05 s; a long query of which a part has come; a query that lies unread until past the last moment. None of these lost one.

One did: the loop stands still from SIGTERM until past the 0.8 s for which a front serves on, and 40 connections wait in the listener's queue, of which a turn accepts 16, none with a query yet. All queries were answered then, so the listener was closed, and the kernel reset the other 24 with their queries (test: "Connection reset"). Front.leaveLater now ends only after a look since which nothing was accepted and with no message half read, up to the last moment as before. Passes with it.

--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -60,6 +60,8 @@
     private boolean listed;
     private boolean leaving;
     private long stayUntil = Long.MAX_VALUE;
+    private long accepted;
+    private long acceptedAtLook;
     private long ids;
     private long held;
     private long sumAt;
@@ -169,6 +171,7 @@
 
     /** False if the connection is one too many. */
     boolean came(ClientConnection client) {
+        accepted++;
         if (newcomers.size() + clients.size() >= limits.clientConnections) {
             log.line("client connections at their limit", Integer.toString(limits.clientConnections));
             ClientConnection idle = leastClaim();
@@ -633,6 +636,8 @@
 
     private void leaveLater(long since, Runnable left) {
         long gone = clock.now() - since;
+        boolean moreCame = accepted != acceptedAtLook;
+        acceptedAtLook = accepted;
         if (gone < limits.leavingQuiet * 10L || !allAnswered() && gone < limits.leavingLongest * 10L
                 + limits.lastResort * 20L) {
             timers.in(100, () -> leaveLater(since, left));
@@ -640,7 +645,11 @@
         }
         // Nothing can come any more but on connections that rest here. What lies unread there is still taken.
         Stream.concat(newcomers.stream(), clients.stream()).toList().forEach(ClientConnection::there);
-        if (!allAnswered() && gone < limits.leavingLongest * 10L) {
+        // A turn accepts some connections only, and reads a part of a long query. After a stop of the loop
+        // the others still wait in the listener's queue, which ends with it: all of them would be reset.
+        boolean more = moreCame || newcomers.stream().anyMatch(ClientConnection::midway)
+                || clients.stream().anyMatch(ClientConnection::midway);
+        if ((more || !allAnswered()) && gone < limits.leavingLongest * 10L) {
             timers.in(100, () -> leaveLater(since, left));
             return;
         }
--- a/src/test/java/reedspring/net/EndingsIT.java
+++ b/src/test/java/reedspring/net/EndingsIT.java
@@ -163,6 +163,178 @@
         assertEquals(16, silent.read(16).size());
     }
 
+    /** Waits for a moment that is so many milliseconds past another, by the steady clock. */
+    private static void until(long since, long ms) throws InterruptedException {
+        Thread.sleep(Math.max(1, ms - (System.nanoTime() - since) / 1_000_000));
+    }
+
+    private interface Step {
+        boolean run() throws Exception;
+    }
+
+    private static CompletableFuture<Boolean> meanwhile(Step what) {
+        return CompletableFuture.supplyAsync(() -> {
+            try {
+                return what.run();
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        });
+    }
+
+    /**
+     * Answers become ready before SIGTERM, while the front still serves, around the moment in which the write
+     * side of what rests is shut, and right before the last; each time four of them, for a client that takes
+     * nothing for 0.2 s.
+     */
+    @Example
+    void answersThatAreReadyAtAnyStageOfTheEndReachAClientThatReadsLater() throws Exception {
+        List<EngineStandIn.Command> held = held();
+        start(holding(held));
+        long[] readyAt = {-100, 50, 400, 780, 830, 870, 2_000, 3_050};
+        List<Client> clients = new ArrayList<>();
+        for (int k = 0; k < readyAt.length; k++) {
+            Client each = narrow();
+            clients.add(each);
+            for (int id = 1; id <= 4; id++) {
+                each.send(Client.query(id, Client.trace(), 9_000, "stage" + k));
+            }
+        }
+        await("the queries at the engine", () -> held.size() == 4 * readyAt.length);
+        long term = System.nanoTime() + 200_000_000L;
+        List<CompletableFuture<Boolean>> all = new ArrayList<>();
+        for (int k = 0; k < readyAt.length; k++) {
+            int stage = k;
+            all.add(meanwhile(() -> {
+                until(term, readyAt[stage]);
+                held.stream().filter(c -> c.words().get(3).equals("stage" + stage))
+                        .forEach(EngineStandIn.pages(7));
+                until(term, readyAt[stage] + 200);
+                for (List<?> answer : clients.get(stage).read(4).values()) {
+                    // The last of them may be too late to be waited for, and is deferred then.
+                    assertTrue(Client.rows(answer) != null || readyAt[stage] > 2_500
+                            && "Shed".equals(Client.error(answer)), readyAt[stage] + ": " + answer);
+                }
+                return clients.get(stage).socket.getInputStream().read() < 0;
+            }));
+        }
+        until(term, 0);
+        front.signal("-TERM");
+        for (int k = 0; k < all.size(); k++) {
+            assertTrue(all.get(k).get(10, TimeUnit.SECONDS), "no orderly end, ready at " + readyAt[k]);
+        }
+    }
+
+    /**
+     * Its write side waits to be shut, answers before it can't go out, and the front is told to end at each
+     * stage of that; its client goes on a moment later, or just before the last moment.
+     */
+    @Example
+    void answersOnAConnectionThatClosesInOrderOutliveTheEndOfTheFront() throws Exception {
+        List<EngineStandIn.Command> held = held();
+        start(holding(held));
+        long[][] endsAndReadsAt = {{-900, 200}, {-900, 3_050}, {-50, 150}, {-50, 3_050}, {300, 500},
+                {300, 3_050}, {780, 980}};
+        List<Client> clients = new ArrayList<>();
+        for (int k = 0; k < endsAndReadsAt.length; k++) {
+            Client each = narrow();
+            clients.add(each);
+            for (int id = 1; id <= 6; id++) {
+                each.send(Client.query(id, Client.trace(), 9_000, "select"));
+            }
+        }
+        await("the queries at the engine", () -> held.size() == 6 * endsAndReadsAt.length);
+        held.forEach(EngineStandIn.pages(7));
+        for (Client each : clients) {
+            each.send(Client.query(7, Client.trace(), 9_000, "open"));
+        }
+        await("those that stay open", () -> held.size() == 7 * endsAndReadsAt.length);
+        Thread.sleep(200);
+        long term = System.nanoTime() + 1_000_000_000L;
+        List<CompletableFuture<Boolean>> all = new ArrayList<>();
+        for (int k = 0; k < endsAndReadsAt.length; k++) {
+            Client each = clients.get(k);
+            long[] at = endsAndReadsAt[k];
+            all.add(meanwhile(() -> {
+                until(term, at[0]);
+                each.send(Client.query(7, Client.trace(), 9_000, "number twice"));
+                until(term, at[1]);
+                Map<Long, List<?>> answers = each.read(7);
+                for (long id = 1; id <= 6; id++) {
+                    assertNotEquals(null, Client.rows(answers.get(id)), answers::toString);
+                }
+                assertEquals("Fault", Client.error(answers.get(7L)));
+                return each.socket.getInputStream().read() < 0;
+            }));
+        }
+        until(term, 0);
+        front.signal("-TERM");
+        for (int k = 0; k < all.size(); k++) {
+            assertTrue(all.get(k).get(10, TimeUnit.SECONDS), Arrays.toString(endsAndReadsAt[k]));
+        }
+    }
+
+    /** A turn accepts 16 connections, and the loop stood still until past the time for which it serves on. */
+    @Example
+    void connectionsThatNobodyHasAcceptedYetAreServedBeforeTheEnd() throws Exception {
+        start(engine(1));
+        serves();
+        front.signal("-TERM");
+        long term = System.nanoTime();
+        await("its leaving", () -> front.logged("leaving"));
+        front.signal("-STOP");
+        List<Client> asking = new ArrayList<>();
+        for (int k = 0; k < 20; k++) {
+            client();
+        }
+        for (int k = 0; k < 20; k++) {
+            asking.add(client().send(Client.query(1, Client.trace(), PATIENCE, "select")));
+        }
+        until(term, 1_100);
+        front.signal("-CONT");
+        for (Client each : asking) {
+            assertNotEquals(null, Client.rows(each.read()));
+        }
+    }
+
+    /** More than the kernel holds for a connection: the front has to read it in several turns. */
+    @Example
+    void aLongQueryThatHasComeInPartIsReadToItsEndBeforeTheEnd() throws Exception {
+        start(engine(1));
+        Client rests = client().send(HEARTBEAT);
+        rests.read();
+        front.signal("-TERM");
+        long term = System.nanoTime();
+        await("its leaving", () -> front.logged("leaving"));
+        front.signal("-STOP");
+        CompletableFuture<Boolean> sent = meanwhile(() -> {
+            rests.send(Client.query(1, Client.trace(), PATIENCE, "x".repeat(240_000)));
+            return true;
+        });
+        until(term, 1_100);
+        front.signal("-CONT");
+        assertNotEquals(null, Client.rows(rests.read()));
+        assertTrue(sent.get(10, TimeUnit.SECONDS));
+    }
+
+    /** Nothing can run any more; that a retry is safe has to be said all the same. */
+    @Example
+    void aQueryThatLiesUnreadUntilPastTheLastMomentIsDeferred() throws Exception {
+        EngineStandIn engine = engine(1);
+        start(engine);
+        Client rests = client().send(HEARTBEAT);
+        rests.read();
+        front.signal("-TERM");
+        long term = System.nanoTime();
+        await("its leaving", () -> front.logged("leaving"));
+        front.signal("-STOP");
+        rests.send(Client.query(1, Client.trace(), PATIENCE, "select"));
+        until(term, 3_400);
+        front.signal("-CONT");
+        assertEquals("Shed", Client.error(rests.read()));
+        assertTrue(engine.seen("fetch").isEmpty());
+    }
+
     // ---- a client that goes
 
     @Example
