A stall probe on the event loop: one log line tells what a turn stood still for

StallProbe counts of each turn what exceeds the time for which the loop was free to wait, and from 50 ms on logs the cause: long turn, waiting for a processor, collecting garbage, stopped or blocked, writing the log. The line takes the place of the old one; one in 10 s for each cause, with the number and sum since the start.

Weighed and left out: the JVM's management beans.

Failed on the way: the loop's delay was asked for by Netty's ticker, which counts from its own start; a stopped front then told nothing (StallsIT, "waited in vain"). Netty wants System.nanoTime().

Tests: StallProbeTest (arithmetic, bounds of the log), StallsIT (forced: a long turn, a long alarm, a blocked turn, collections in a process with the serial collector, a slow log, SIGSTOP; none of its own on an ordinary run, nor with a full log pipe).

--- a/src/main/java/reedspring/net/ClientConnection.java
+++ b/src/main/java/reedspring/net/ClientConnection.java
@@ -60,6 +60,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
+        front.probe().is("client message");
         lastUsedAt = front.clock().now();
         if (ending || !ctx.channel().isOpen()) {
             // What was read together with the message that it ended for, behind it.
--- a/src/main/java/reedspring/net/EngineConnection.java
+++ b/src/main/java/reedspring/net/EngineConnection.java
@@ -286,6 +286,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
+        front.probe().is("engine answer");
         AnswerDecoder.Answer answer = (AnswerDecoder.Answer) message;
         try {
             if (!ctx.channel().isOpen()) {
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -37,6 +37,7 @@
     private final Limits limits;
     private final Clock clock;
     private final Log log;
+    private final StallProbe probe;
     private final Timers timers;
     private final Engines engines;
     private final Control control;
@@ -72,7 +73,9 @@
         this.limits = limits;
         this.clock = new Clock();
         this.log = log;
-        this.timers = new Timers(loop, turns, clock, log, limits);
+        this.probe = new StallProbe(log, limits.stoodStill);
+        turns.watchedBy(probe);
+        this.timers = new Timers(loop, turns, clock, log, limits, probe);
         this.engines = new Engines(loop, limits, this);
         this.sumAt = clock.now() + limits.logEvery * 10L;
         deciding = true;
@@ -89,6 +92,10 @@
         return log;
     }
 
+    StallProbe probe() {
+        return probe;
+    }
+
     Timers timers() {
         return timers;
     }
@@ -381,12 +388,14 @@
             while (!news.isEmpty() || !events.isEmpty()) {
                 refresh();
                 Event next = news.isEmpty() ? events.poll() : news.poll();
+                long began = probe.decides();
                 try {
                     control.on(clock.now(), next, this::act);
                 } catch (RuntimeException | Error e) {
                     // What it was about is answered at its time at the latest, by the front itself.
                     log.fault("a decision failed", e);
                 }
+                probe.decided(began, next);
             }
         } finally {
             deciding = false;
--- a/src/main/java/reedspring/net/Journal.java
+++ b/src/main/java/reedspring/net/Journal.java
@@ -172,6 +172,7 @@
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
+            front.probe().is("journal event");
             if (ctx.channel() != channel || !channel.isOpen()) {
                 // After a move, or after an event that could not be used.
                 ReferenceCountUtil.release(message);
--- a/src/main/java/reedspring/net/Log.java
+++ b/src/main/java/reedspring/net/Log.java
@@ -13,6 +13,7 @@
     private final Limits limits;
     private final JsonLines json;
     private final Map<String, int[]> seen = new LinkedHashMap<>();
+    private long spentNanos;
 
     /** What writes lines as JSON objects; not loaded where nobody wants them. */
     interface JsonLines {
@@ -25,9 +26,16 @@
         this.json = json;
     }
 
+    /** Time that its lines took from those who wrote them, since the start; for {@link StallProbe}. */
+    long spentNanos() {
+        return spentNanos;
+    }
+
     /** A line that comes once in a front's life. */
     void once(String event, String detail) {
+        long began = System.nanoTime();
         Logger.info(json != null ? json.line("info", event, detail, 0) : joined(event, " ", detail));
+        spentNanos += System.nanoTime() - began;
     }
 
     void line(String event, String detail) {
@@ -41,8 +49,10 @@
 
     private void line(String kind, String event, String detail) {
         if (count(kind)[0]++ == 0) {
+            long began = System.nanoTime();
             Logger.warn(json != null ? json.line("warn", event, printable(detail), 0)
                     : joined(event, ": ", printable(detail)));
+            spentNanos += System.nanoTime() - began;
         }
     }
 
@@ -52,11 +62,13 @@
 
     void fault(String kind, Throwable cause) {
         if (count(kind)[0]++ == 0) {
+            long began = System.nanoTime();
             if (json != null) {
                 Logger.error(json.line("error", kind, trace(cause), 0));
             } else {
                 Logger.error(cause, kind);
             }
+            spentNanos += System.nanoTime() - began;
         }
     }
 
@@ -76,6 +88,7 @@
 
     /** Ends a span. */
     void sum() {
+        long began = System.nanoTime();
         seen.forEach((kind, count) -> {
             if (count[0] > 1) {
                 if (json != null) {
@@ -86,6 +99,7 @@
             }
         });
         seen.clear();
+        spentNanos += System.nanoTime() - began;
     }
 
     /** What others send must not forge lines or fill the log. */
--- a/src/main/java/reedspring/net/Timers.java
+++ b/src/main/java/reedspring/net/Timers.java
@@ -15,6 +15,7 @@
     private final Clock clock;
     private final Log log;
     private final Limits limits;
+    private final StallProbe probe;
     private final PriorityQueue<Due> queue = new PriorityQueue<>(
             Comparator.comparingLong((Due due) -> due.at).thenComparingLong(due -> due.order));
     private long order;
@@ -35,11 +36,12 @@
         }
     }
 
-    Timers(EventLoop loop, Turns turns, Clock clock, Log log, Limits limits) {
+    Timers(EventLoop loop, Turns turns, Clock clock, Log log, Limits limits, StallProbe probe) {
         this.loop = loop;
         this.clock = clock;
         this.log = log;
         this.limits = limits;
+        this.probe = probe;
         turns.afterReading(this::read);
     }
 
@@ -91,7 +93,6 @@
         if (behind > limits.stoodStill * 10L) {
             // Who owes an answer, or nothing for too long, shows only once all that has come is read: a stop
             // of this process must not pass for the others' silence.
-            log.line("the loop stood still", behind / 10 + " ms");
             readFirst = true;
             alarmAt = Long.MIN_VALUE;
             alarm = loop.schedule(() -> { }, 1, TimeUnit.NANOSECONDS);
@@ -112,11 +113,14 @@
 
     private void runDue() {
         for (long now = clock.now(); !queue.isEmpty() && queue.peek().at <= now; ) {
+            probe.begin("alarm");
             try {
                 queue.poll().what.run();
             } catch (RuntimeException | Error e) {
                 // Whatever failed, the alarm below has to be set again: without it nothing ends in time.
                 log.fault("a timer failed", e);
+            } finally {
+                probe.end();
             }
         }
         arm();
--- a/src/main/java/reedspring/net/Turns.java
+++ b/src/main/java/reedspring/net/Turns.java
@@ -1,12 +1,15 @@
 package reedspring.net;
 
+import io.netty.channel.IoEvent;
 import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.IoRegistration;
+import io.netty.channel.nio.NioIoHandle;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.ThreadAwareExecutor;
+import java.nio.channels.SelectableChannel;
 
 /**
  * The turns of one event loop: says when a turn has read the sockets that were ready. The loop's own tasks
@@ -15,19 +18,79 @@
 final class Turns implements IoHandlerFactory {
     private final IoHandlerFactory sockets = NioIoHandler.newFactory();
     private Runnable afterReading = () -> { };
+    private StallProbe probe;
 
     /** On the loop's thread only, like all that it calls. */
     void afterReading(Runnable what) {
         afterReading = what;
     }
 
+    /** From its next turn on. */
+    void watchedBy(StallProbe watcher) {
+        probe = watcher;
+    }
+
+    /** For which the loop may wait in its selector, in nanoseconds. */
+    private static long mayWait(IoHandlerContext context) {
+        return context.canBlock() ? context.delayNanos(System.nanoTime()) : 0;
+    }
+
+    /** One socket, whose reads and writes count as one thing done in a turn. */
+    private final class Watched implements NioIoHandle {
+        private final NioIoHandle socket;
+
+        Watched(NioIoHandle socket) {
+            this.socket = socket;
+        }
+
+        @Override
+        public void handle(IoRegistration registration, IoEvent event) {
+            if (probe == null) {
+                socket.handle(registration, event);
+                return;
+            }
+            probe.begin("socket");
+            try {
+                socket.handle(registration, event);
+            } finally {
+                probe.end();
+            }
+        }
+
+        @Override
+        public SelectableChannel selectableChannel() {
+            return socket.selectableChannel();
+        }
+
+        @Override
+        public void registered() {
+            socket.registered();
+        }
+
+        @Override
+        public void unregistered() {
+            socket.unregistered();
+        }
+
+        @Override
+        public void close() throws Exception {
+            socket.close();
+        }
+    }
+
     @Override
     public IoHandler newHandler(ThreadAwareExecutor executor) {
         IoHandler made = sockets.newHandler(executor);
         return new IoHandler() {
             @Override
             public int run(IoHandlerContext context) {
+                if (probe != null) {
+                    probe.turn(mayWait(context));
+                }
                 int handled = made.run(context);
+                if (probe != null) {
+                    probe.read();
+                }
                 afterReading.run();
                 return handled;
             }
@@ -49,7 +112,7 @@
 
             @Override
             public IoRegistration register(IoHandle handle) throws Exception {
-                return made.register(handle);
+                return made.register(handle instanceof NioIoHandle socket ? new Watched(socket) : handle);
             }
 
             @Override
--- a/src/rig/java/reedspring/rig/Program.java
+++ b/src/rig/java/reedspring/rig/Program.java
@@ -60,6 +60,14 @@
                         run(Path.of("."))));
     }
 
+    /** Whose log goes to a pipe that is full already, and that nobody reads before it wants to. */
+    public static Program withFullLog(String config, Path pipe) throws IOException, InterruptedException {
+        Rig.require(new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor() == 0, "no pipe");
+        return new Program(config, Path.of("."), List.of("/bin/sh", "-c",
+                "exec 3<>\"$1\"; head -c 65536 /dev/zero >&3; exec /bin/sh -c \"$0\" >&3 2>&3",
+                run(Path.of(".")), pipe.toString()));
+    }
+
     /**
      * Whose configuration is a pipe: each time the program, or the shell before it, opens the file, it waits
      * until {@link #configured} is called.
--- /dev/null
+++ b/src/test/java/reedspring/net/StallProbeTest.java
@@ -0,0 +1,178 @@
+package reedspring.net;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static reedspring.net.StallProbe.Cause.BLOCKED;
+import static reedspring.net.StallProbe.Cause.COLLECTION;
+import static reedspring.net.StallProbe.Cause.LOG;
+import static reedspring.net.StallProbe.Cause.LONG_TURN;
+import static reedspring.net.StallProbe.Cause.QUEUED;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import net.jqwik.api.constraints.Size;
+import reedspring.boot.Boot;
+
+/** The probe's own arithmetic, by a clock and figures of threads that are set by hand. */
+class StallProbeTest {
+    private static final long MS = 1_000_000;
+    private final List<String> lines = new ArrayList<>();
+    private final long[] figures = {1, 1, 1, 1, 1, 1};
+    private long now = 77 * MS;
+    private Log log;
+
+    private StallProbe probe() throws Exception {
+        Limits limits = new Limits(new Boot(Map.of("classes.count", "0")), 1024, 192);
+        log = new Log(limits, (level, event, detail, more) -> {
+            lines.add(event + ": " + detail);
+            return "";
+        });
+        return new StallProbe(log, 50, () -> now, new ThreadTimes() {
+            @Override
+            void findLoop() {
+            }
+
+            @Override
+            void findOthers() {
+            }
+
+            @Override
+            void read(long[] into) {
+                System.arraycopy(figures, 0, into, 0, into.length);
+            }
+        });
+    }
+
+    private void passes(long ms, int... spent) {
+        now += ms * MS;
+        for (int k = 0; k < spent.length; k++) {
+            figures[k] += spent[k] * MS;
+        }
+    }
+
+    @Example
+    void aTurnThatWaitsAsLongAsItMayIsNoStall() throws Exception {
+        StallProbe probe = probe();
+        for (int k = 0; k < 200; k++) {
+            probe.turn(250 * MS);
+            passes(k % 2 == 0 ? 250 : 30);
+            probe.begin("socket");
+            passes(10, 10);
+            probe.end();
+            probe.read();
+            passes(20, 20);
+        }
+        assertTrue(lines.isEmpty(), lines::toString);
+    }
+
+    @Example
+    void whatComesTooLateCountsFromWhenItWasDue() throws Exception {
+        StallProbe probe = probe();
+        probe.turn(100 * MS);
+        passes(400, 0, 290);
+        probe.begin("alarm");
+        probe.end();
+        probe.read();
+        probe.turn(0);
+        assertEquals(1, lines.size());
+        assertTrue(lines.get(0).startsWith("event loop stalled, waiting for a processor: 300 ms; in 400 ms "
+                + "ran 0, queued 290; "), lines.get(0));
+        assertTrue(lines.get(0).endsWith("; 1 so far, 300 ms"), lines.get(0));
+    }
+
+    @Example
+    void theLongestWorkAndDecisionOfALongTurnAreNamed() throws Exception {
+        StallProbe probe = probe();
+        probe.turn(250 * MS);
+        passes(10);
+        probe.begin("socket");
+        passes(5, 5);
+        probe.end();
+        probe.begin("socket");
+        probe.is("engine answer");
+        long began = probe.decides();
+        passes(80, 80);
+        probe.decided(began, "an event");
+        passes(30, 30);
+        probe.end();
+        probe.read();
+        probe.turn(0);
+        assertTrue(lines.get(0).startsWith("event loop stalled, long turn: 115 ms; in 125 ms ran 115, "),
+                lines.get(0));
+        assertTrue(lines.get(0).contains("longest engine answer 110, String 80; "), lines.get(0));
+        // The turn after it is told nothing of.
+        passes(20, 20);
+        probe.turn(0);
+        assertEquals(1, lines.size());
+    }
+
+    /** Whoever floods the front with stalls must not fill its log. */
+    @Example
+    void oneLineInASpanAndTheSumsInTheNext() throws Exception {
+        StallProbe probe = probe();
+        for (int k = 0; k < 20; k++) {
+            probe.turn(0);
+            passes(100);
+        }
+        log.sum();
+        assertEquals("event loop stalled, stopped or blocked: ", lines.get(1));
+        probe.turn(0);
+        assertEquals(3, lines.size());
+        assertTrue(lines.get(2).endsWith("; 20 so far, 2000 ms"), lines.get(2));
+    }
+
+    @Example
+    void theLargestPartNamesTheCause() {
+        assertEquals(QUEUED, StallProbe.cause(500 * MS, spent(10, 480, 0, 0), 0));
+        assertEquals(LONG_TURN, StallProbe.cause(500 * MS, spent(470, 20, 0, 0), 0));
+        assertEquals(BLOCKED, StallProbe.cause(500 * MS, spent(3, 2, 1, 0), 0));
+        assertEquals(COLLECTION, StallProbe.cause(500 * MS, spent(3, 2, 400, 0), 0));
+        // A collection that has no processor is one all the same; its figures tell why it took so long.
+        assertEquals(COLLECTION, StallProbe.cause(500 * MS, spent(3, 2, 18, 450), 0));
+        assertEquals(LOG, StallProbe.cause(500 * MS, spent(3, 2, 0, 0), 480 * MS));
+        // What the loop did in the span before the stall takes nothing away.
+        assertEquals(LONG_TURN, StallProbe.cause(60 * MS, spent(90, 70, 10, 0), 0));
+    }
+
+    private static long[] spent(long... ms) {
+        long[] all = new long[ThreadTimes.FIGURES];
+        for (int k = 0; k < ms.length; k++) {
+            all[k] = ms[k] * MS;
+        }
+        return all;
+    }
+
+    /** What is named is a third of the stall at least. */
+    @Property(tries = 500)
+    void aCauseIsNoSmallPart(@ForAll @LongRange(min = 3, max = 10_000) long stalledMs,
+                             @ForAll @Size(6) List<@LongRange(min = 0, max = 10_000) Long> spentMs) {
+        long[] spent = spentMs.stream().mapToLong(ms -> ms * MS).toArray();
+        long ran = Math.min(stalledMs, spentMs.get(ThreadTimes.LOOP_RAN));
+        long queued = Math.min(stalledMs, spentMs.get(ThreadTimes.LOOP_QUEUED));
+        long part = switch (StallProbe.cause(stalledMs * MS, spent, 0)) {
+            case LONG_TURN -> ran;
+            case QUEUED -> queued;
+            case BLOCKED, COLLECTION -> stalledMs - ran - queued;
+            case LOG, UNKNOWN -> 0;
+        };
+        assertTrue(3 * part >= stalledMs, part + " of " + stalledMs);
+    }
+
+    @Example
+    void theKernelsFiguresAreReadAsTheyStand() {
+        long[] into = new long[4];
+        byte[] line = "166460 3248939 2\n".getBytes(StandardCharsets.ISO_8859_1);
+        ThreadTimes.parse(line, line.length, into, 2);
+        assertArrayEquals(new long[] {0, 0, 166_460, 3_248_939}, into);
+        ThreadTimes.parse(line, -1, into, 0);
+        ThreadTimes.parse("x".getBytes(StandardCharsets.ISO_8859_1), 1, into, 0);
+        assertArrayEquals(new long[] {0, 0, 166_460, 3_248_939}, into);
+    }
+}
