--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -38,6 +38,7 @@
     private final Limits limits;
     private final Clock clock;
     private final Log log;
+    private final StallProbe probe;
     private final Timers timers;
     private final DeadlineMisses misses;
     private final SubmissionRunner engines;
@@ -62,6 +63,8 @@
     private boolean listed;
     private boolean leaving;
     private long stayUntil = Long.MAX_VALUE;
+    private long accepted;
+    private long acceptedAtLook;
     private long ids;
     private long held;
     private long sumAt;
@@ -78,7 +81,9 @@
         this.limits = limits;
         this.clock = new Clock();
         this.log = log;
-        this.timers = new Timers(loop, turns, clock, log, limits);
+        this.probe = new StallProbe(log, limits.stoodStill);
+        turns.watchedBy(probe);
+        this.timers = new Timers(loop, turns, clock, log, limits, probe);
         this.misses = new DeadlineMisses(limits, clock, timers, log);
         this.engines = runner.apply(this);
         this.sumAt = clock.now() + limits.logEvery * 10L;
@@ -96,6 +101,10 @@
         return log;
     }
 
+    StallProbe probe() {
+        return probe;
+    }
+
     Timers timers() {
         return timers;
     }
@@ -182,6 +191,7 @@
 
     /** False if the connection is one too many. */
     boolean came(ClientConnection client) {
+        accepted++;
         if (newcomers.size() + clients.size() >= limits.clientConnections) {
             log.line("client connections at their limit", Integer.toString(limits.clientConnections));
             ClientConnection idle = leastClaim();
@@ -393,12 +403,14 @@
             while (!news.isEmpty() || !events.isEmpty()) {
                 refresh();
                 Event next = news.isEmpty() ? events.poll() : news.poll();
+                long began = probe.decides();
                 try {
                     control.on(clock.now(), next, this::act);
                 } catch (RuntimeException | Error e) {
                     // What it was about is answered at its time at the latest, by the front itself.
                     log.fault("a decision failed", e);
                 }
+                probe.decided(began, next);
             }
         } finally {
             deciding = false;
@@ -648,6 +660,8 @@
 
     private void leaveLater(long since, Runnable left) {
         long gone = clock.now() - since;
+        boolean moreCame = accepted != acceptedAtLook;
+        acceptedAtLook = accepted;
         if (gone < limits.leavingQuiet * 10L || !allAnswered() && gone < limits.leavingLongest * 10L
                 + limits.lastResort * 20L) {
             timers.in(100, () -> leaveLater(since, left));
@@ -655,7 +669,11 @@
         }
         // Nothing can come any more but on connections that rest here. What lies unread there is still taken.
         Stream.concat(newcomers.stream(), clients.stream()).toList().forEach(ClientConnection::there);
-        if (!allAnswered() && gone < limits.leavingLongest * 10L) {
+        // A turn accepts some connections only, and reads a part of a long query. After a stop of the loop
+        // the others still wait in the listener's queue, which ends with it: all of them would be reset.
+        boolean more = moreCame || newcomers.stream().anyMatch(ClientConnection::midway)
+                || clients.stream().anyMatch(ClientConnection::midway);
+        if ((more || !allAnswered()) && gone < limits.leavingLongest * 10L) {
             timers.in(100, () -> leaveLater(since, left));
             return;
         }
