--- a/src/rig/java/reedspring/rig/EngineStandIn.java
+++ b/src/rig/java/reedspring/rig/EngineStandIn.java
@@ -29,7 +29,12 @@
         }
 
         public void answer(String word, String fields, String body) {
-            answerRaw("*4" + bulk(id()) + bulk(word) + bulk(fields) + bulk(body) + "\r\n");
+            answerRaw(text(id(), word, fields, body));
+        }
+
+        /** One answer as it goes out. */
+        public static String text(String id, String word, String fields, String body) {
+            return "*4" + bulk(id) + bulk(word) + bulk(fields) + bulk(body) + "\r\n";
         }
 
         public void answerRaw(String text) {
--- a/src/rig/java/reedspring/rig/fleet/Fleet.java
+++ b/src/rig/java/reedspring/rig/fleet/Fleet.java
@@ -31,6 +31,7 @@
     private static final long MS = 1_000_000;
     private static final long STEP = 5;
     private static final int STARTED_AT_ONCE = 8;
+    private static final int MOST_FRONTS = 200;
     /** Of loopback's addresses: doors to engines, to fronts, to journals, and the relay's own by front. */
     private static final int TO_ENGINES = 21;
     private static final int TO_FRONTS = 22;
@@ -128,6 +129,9 @@
     /** Plays the timetable once; throws what broke, with file, seed and moment. */
     public static Tally play(Path file, long seed) throws Exception {
         Timetable table = Timetable.read(file);
+        Rig.require(table.fronts() <= MOST_FRONTS
+                && table.entries().stream().noneMatch(e -> e.what().ofScale()),
+                file + " is for bench/scale");
         try (Fleet fleet = new Fleet(table, seed)) {
             return fleet.run();
         }
--- a/src/rig/java/reedspring/rig/fleet/Fleets.java
+++ b/src/rig/java/reedspring/rig/fleet/Fleets.java
@@ -38,7 +38,8 @@
         }
         if (files.isEmpty()) {
             try (Stream<Path> all = Files.list(Path.of("bench/timetables"))) {
-                all.filter(file -> file.toString().endsWith(".ini")).sorted().forEach(files::add);
+                all.filter(file -> file.toString().endsWith(".ini")
+                        && !file.getFileName().toString().startsWith("scale-")).sorted().forEach(files::add);
             }
         }
         System.exit(play(files, seed, shortly));
--- a/src/rig/java/reedspring/rig/fleet/Terms.java
+++ b/src/rig/java/reedspring/rig/fleet/Terms.java
@@ -8,8 +8,8 @@
 import reedspring.boot.BootException;
 
 /** What a fleet's fronts are told at their start, for started programs and for decisions alone. */
-final class Terms {
-    static final String[] GROUPS = {"lookup", "report", "change"};
+public final class Terms {
+    public static final String[] GROUPS = {"lookup", "report", "change"};
     /** Must not run twice. */
     static final int CHANGE = 2;
     static final int[] THREADS = {1, 4, 1};
@@ -23,7 +23,7 @@
     static final int SEND_CAP = 3;
     static final int LONGEST_PAUSE_MS = 500;
     static final int CONNECT_MS = 250;
-    static final int DRAIN_MS = 500;
+    public static final int DRAIN_MS = 500;
 
     private Terms() {
     }
@@ -81,7 +81,7 @@
     }
 
     /** How long a client waits for its query, counted from its first try. */
-    static int leavesMs(Timetable table, int group) {
+    public static int leavesMs(Timetable table, int group) {
         return table.patience() * AIM_MS[group];
     }
 
@@ -90,7 +90,7 @@
         return Math.round(10 * (AIM_MS[group] + AIM_STRETCH[group] * workMs / THREADS[group]));
     }
 
-    static String kind(double cores) {
+    public static String kind(double cores) {
         return "c" + (int) cores;
     }
 
@@ -105,11 +105,19 @@
     /** The configuration file of one front. {@code known}: the journal's event at that position. */
     static String config(Timetable table, int front, String listen, String journal, int position,
                          String known) {
+        return config(table, front, 128, listen, journal, position, known);
+    }
+
+    /** The same with more or less memory. */
+    public static String config(Timetable table, int front, int memoryMb, String listen, String journal,
+                                int position, String known) {
         StringBuilder settings = new StringBuilder();
         pairs(table).forEach((key, value) -> settings.append(settings.length() == 0 ? "" : ",").append('"')
                 .append(key).append("\":\"").append(value).append('"'));
         return "{\"name\":\"n" + front + "\",\"listen\":\"" + listen + "\",\"seed\":\""
-                + Long.toHexString(0x5eed_0000L + front) + "\",\"limits\":{\"cores\":1.0,\"memory_mb\":128,"
+                + Long.toHexString(0x5eed_0000L + front) + "\",\"limits\":{\"cores\":1.0,"
+                + "\"memory_mb\":" + memoryMb
+                + ","
                 + "\"sockets\":1024},\"journal\":\"" + journal + "\",\"known\":{\"pos\":" + position
                         + ",\"entries\":["
                 + known + "]},\"settings\":{" + settings + "}}";
--- a/src/rig/java/reedspring/rig/fleet/Timetable.java
+++ b/src/rig/java/reedspring/rig/fleet/Timetable.java
@@ -24,18 +24,18 @@
      * and needs are means, widely scattered, by the group's place in {@link Terms#GROUPS}.
      */
     public record Mix(int longOneIn, int changeOneIn, double[] workMs, double[] needMb) {
-        int group(SplittableRandom chance) {
+        public int group(SplittableRandom chance) {
             if (changeOneIn > 0 && chance.nextInt(changeOneIn) == 0) {
                 return Terms.CHANGE;
             }
             return chance.nextInt(longOneIn) == 0 ? 1 : 0;
         }
 
-        double workMs(int group, SplittableRandom chance) {
+        public double workMs(int group, SplittableRandom chance) {
             return workMs[group] * Math.exp(chance.nextGaussian() - 0.5);
         }
 
-        double needMb(int group, SplittableRandom chance) {
+        public double needMb(int group, SplittableRandom chance) {
             return needMb[group] * Math.exp(0.7 * chance.nextGaussian() - 0.25);
         }
 
@@ -86,9 +86,25 @@
         /** Lists reach these fronts late. */
         LATE_LIST,
         /** More queries. */
-        BURST;
+        BURST,
+        // Those of the scale run alone.
+        /** {@code times} changes of configuration over the span, each to all fronts. */
+        CONFIGURE,
+        /** One that can't be used. */
+        CONFIGURE_BAD,
+        /** Each engine drains, and at the same moment another takes its place. */
+        PRIMARY,
+        /** Engines have gone without a word, and as many new ones come when the time is over. */
+        LOSE,
+        /** The journal service ends under all who follow it, and is back when the time is over. */
+        JOURNAL_AWAY;
 
-        boolean ofLinks() {
+        /** Played by bench/scale and by nothing else. */
+        public boolean ofScale() {
+            return ordinal() > BURST.ordinal();
+        }
+
+        public boolean ofLinks() {
             return ordinal() <= THROTTLE.ordinal();
         }
 
@@ -103,20 +119,24 @@
      */
     public record Entry(String title, long at, long span, What what, Link link, String fronts, String engines,
                         long by, double times, long rate) {
-        long until() {
+        public long until() {
             return at + span;
         }
     }
 
     private static final long SECOND = 10_000;
+    /** Engines and fronts stand in racks by turns. */
+    private static final int RACKS = 50;
     private static final int MOST = 1_000;
+    private static final int MOST_FRONTS = 10_000;
+    private static final int MOST_ENGINES = 100_000;
 
     public static Timetable read(Path file) throws SettingsException {
         Ini ini = new Ini(file);
         String it = "fleet";
         ini.has(it);
-        int fronts = (int) ini.count(it, "fronts", 8, 1, MOST);
-        int engines = (int) ini.count(it, "engines", 6, 1, MOST);
+        int fronts = (int) ini.count(it, "fronts", 8, 1, MOST_FRONTS);
+        int engines = (int) ini.count(it, "engines", 6, 1, MOST_ENGINES);
         List<Entry> entries = new ArrayList<>();
         for (String section : ini.sections()) {
             if (!section.equals(it)) {
@@ -195,7 +215,8 @@
     }
 
     private static boolean pattern(String who) {
-        return who.matches("all|none|[0-9]{1,2}%|[0-9]{1,4}|site [a-z]|[fe][0-9]{1,4}( [fe][0-9]{1,4})*");
+        return who.matches("all|none|[0-9]{1,2}%|[0-9]{1,4}|site [a-z]{1,26}|rack [0-9]{1,2}"
+                + "|[fe][0-9]{1,5}( [fe][0-9]{1,5})*");
     }
 
     /** A front or engine's site. */
@@ -235,7 +256,10 @@
         }
         Set<Integer> set = new HashSet<>();
         if (who.startsWith("site ")) {
-            IntStream.range(0, count).filter(k -> site(k) == who.charAt(5)).forEach(set::add);
+            IntStream.range(0, count).filter(k -> who.indexOf(site(k), 5) >= 0).forEach(set::add);
+        } else if (who.startsWith("rack ")) {
+            int rack = Integer.parseInt(who.substring(5)) % RACKS;
+            IntStream.range(0, count).filter(k -> k % RACKS == rack).forEach(set::add);
         } else if (who.charAt(0) == letter) {
             for (String name : who.split(" ")) {
                 set.add(Integer.parseInt(name.substring(1)) % count);
