--- /dev/null
+++ b/src/rig/java/reedspring/net/JournalReading.java
@@ -0,0 +1,60 @@
+package reedspring.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.TooLongFrameException;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.Map;
+import reedspring.boot.Boot;
+import reedspring.boot.BootException;
+
+/** How a front reads one event of the journal service, with no front: the stream's lines, then its JSON. */
+public final class JournalReading {
+    private static final int READ = 16_384;
+    private Object held;
+
+    /** Lets go of what was read last. */
+    public void forget() {
+        held = null;
+    }
+
+    /** What one event may hold before the stream is given up, bytes. */
+    public static int most() throws BootException {
+        return new Limits(new Boot(Map.of()), 1024, 256).journalBytes;
+    }
+
+    /** Under which numbers of descriptors and megabytes a front holds how much. */
+    public static Map<String, Integer> holds(int sockets, int memoryMb) throws BootException {
+        Limits limits = new Limits(new Boot(Map.of()), sockets, memoryMb);
+        return Map.of("clients", limits.clientConnections, "engines", limits.allEngineConnections,
+                "queries", limits.queries);
+    }
+
+    /**
+     * Reads what a socket would give in pieces of 16 KB, and keeps what came of it.
+     *
+     * @return the rows of the last event, or -1 if it was longer than a front takes
+     */
+    public int read(byte[] event, int most) {
+        held = null;
+        EventStream stream = new EventStream(most, (id, data) -> {
+            try {
+                held = Json.read(data);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+        try {
+            for (int from = 0; from < event.length; from += READ) {
+                ByteBuf piece = Unpooled.wrappedBuffer(event, from, Math.min(READ, event.length - from));
+                stream.feed(piece);
+            }
+        } catch (TooLongFrameException e) {
+            return -1;
+        }
+        Map<?, ?> list = (Map<?, ?>) ((Map<?, ?>) held).get("hosts");
+        return ((List<?>) list.get("hosts")).size();
+    }
+}
--- a/src/rig/java/reedspring/rig/scale/package-info.java
+++ b/src/rig/java/reedspring/rig/scale/package-info.java
@@ -1,2 +1,2 @@
-/** The size in two years: hollow fronts beside real ones, what each factor costs, and the page that tells it. */
+/** The size in two years: hollow fronts beside real ones, what each factor costs, and its page. */
 package reedspring.rig.scale;
