--- a/src/rig/java/reedspring/rig/scale/OneFront.java
+++ b/src/rig/java/reedspring/rig/scale/OneFront.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
@@ -71,7 +72,7 @@
     }
 
     Used watch(int ms) throws IOException, InterruptedException {
-        long before = cpuNanos();
+        Map<Path, Long> before = cpuNanos();
         long since = System.nanoTime();
         Thread.sleep(ms);
         return used(before, since, 0);
@@ -79,7 +80,7 @@
 
     /** So many queries a second over all connections in turn, each answered before its caller's next. */
     Used serve(int perSecond, int ms) throws Exception {
-        long before = cpuNanos();
+        Map<Path, Long> before = cpuNanos();
         long since = System.nanoTime();
         long end = since + ms * 1_000_000L;
         List<Future<Integer>> done = new ArrayList<>();
@@ -112,23 +113,30 @@
         return 2 + ids++;
     }
 
-    private Used used(long before, long since, int answered) throws IOException {
+    private Used used(Map<Path, Long> before, long since, int answered) throws IOException {
         double took = System.nanoTime() - since;
         String resident = Files.readAllLines(Path.of("/proc/" + front.process.pid() + "/status")).stream()
                 .filter(line -> line.startsWith("VmRSS:")).findFirst().orElseThrow().replaceAll("[^0-9]", "");
-        return new Used((cpuNanos() - before) / took, Long.parseLong(resident) * 1024 / 1e6,
+        long nanos = 0;
+        for (Map.Entry<Path, Long> thread : cpuNanos().entrySet()) {
+            nanos += thread.getValue() - before.getOrDefault(thread.getKey(), 0L);
+        }
+        return new Used(nanos / took, Long.parseLong(resident) * 1024 / 1e6,
                 answered * 1e9 / took);
     }
 
-    /** Of the threads that live; those of a front at work do for its whole life. */
-    private long cpuNanos() throws IOException {
-        long sum = 0;
+    /**
+     * Of the threads that live. A front's own do for its whole life; the JIT's end, and with a sum over all
+     * what those had taken before would have been taken off what is measured.
+     */
+    private Map<Path, Long> cpuNanos() throws IOException {
+        Map<Path, Long> threads = new HashMap<>();
         try (var tasks = Files.list(Path.of("/proc/" + front.process.pid() + "/task"))) {
             for (Path task : tasks.toList()) {
-                sum += Long.parseLong(Files.readString(task.resolve("schedstat")).split(" ")[0]);
+                threads.put(task, Long.parseLong(Files.readString(task.resolve("schedstat")).split(" ")[0]));
             }
         }
-        return sum;
+        return threads;
     }
 
     @Override
--- a/src/rig/java/reedspring/rig/scale/Slopes.java
+++ b/src/rig/java/reedspring/rig/scale/Slopes.java
@@ -350,6 +350,8 @@
         fronts = 1;
         try (OneFront front = new OneFront()) {
             begin("front_idle");
+            // What starts once is compiled meanwhile.
+            front.watch(5_000);
             int[] sizes = shortly ? new int[] {0, 100} : new int[] {0, 500, 1_000, 2_000, 4_000};
             for (int connections : sizes) {
                 front.connect(connections);
