--- /dev/null
+++ b/src/test/java/reedspring/rig/scale/JournalServiceTest.java
@@ -0,0 +1,133 @@
+package reedspring.rig.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import net.jqwik.api.Example;
+import reedspring.rig.Rig;
+
+class JournalServiceTest {
+    private static final int LISTED = 25_000;
+    private static final int CHANGES = 300;
+
+    /** One call; its kernel holds little of what it does not read. */
+    private static final class Caller implements AutoCloseable {
+        private final Socket socket = new Socket();
+        private final BufferedReader in;
+        private long read;
+
+        private Caller(String address, int from) throws IOException {
+            socket.setReceiveBufferSize(8_192);
+            socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(),
+                    Integer.parseInt(address.substring(address.indexOf(':') + 1))));
+            socket.setSoTimeout((int) Rig.PATIENCE_S * 1000);
+            socket.getOutputStream().write(("GET /journal HTTP/1.1\r\nHost: x\r\nLast-Event-ID: " + from
+                    + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
+                    StandardCharsets.US_ASCII), 4_096);
+        }
+
+        /** The next event's number and data. */
+        private String[] event() throws IOException {
+            String id = "";
+            for (String line = in.readLine(); ; line = in.readLine()) {
+                assertTrue(line != null, "the stream goes on");
+                read += line.length();
+                if (line.startsWith("id: ")) {
+                    id = line.substring(4);
+                } else if (line.startsWith("data: ")) {
+                    return new String[] {id, line.substring(6)};
+                }
+            }
+        }
+
+        /** Whole lists and changes without a gap up to that number; how many events that took. */
+        private int readTo(int number) throws IOException {
+            int events = 0;
+            for (int at = -1; at < number; events++) {
+                String[] event = event();
+                boolean whole = event[1].contains("\"whole\":true");
+                int next = Integer.parseInt(event[0]);
+                assertTrue(whole && next > at || next == at + 1, "event " + next + " after " + at);
+                at = next;
+            }
+            return events;
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    private static JournalService.Row row(int k, String health) {
+        return new JournalService.Row("s-" + k, "127.40.1.1:5050", "a", "c8", health, 0);
+    }
+
+    @Example
+    void aWatcherThatReadsSlowlyWhileAListOfFourMegabytesComesHoldsUpNobodyAndMissesNothing()
+            throws Exception {
+        try (JournalService service = new JournalService(1 << 28)) {
+            service.tell(IntStream.range(0, LISTED).mapToObj(k -> row(k, "ready")).toList());
+            String slow = service.watcher().get(0);
+            String fast = service.watcher().get(1);
+            try (Caller slowly = new Caller(slow, 0); Caller fastly = new Caller(fast, 0)) {
+                Rig.await("the slow watcher's call", () -> !service.calledSince(0, 0).isEmpty());
+                for (int k = 0; k < CHANGES; k++) {
+                    service.tell(List.of(row(k, "draining")));
+                }
+                int events = fastly.readTo(CHANGES + 1);
+                assertTrue(fastly.read > 3 << 20, "a whole list of " + fastly.read);
+                // It was told one by one what came while it read, and the other has read nothing yet.
+                assertTrue(events >= 1 && service.inStep().equals(Set.of(1)), "in step: " + service.inStep());
+                assertEquals(1, service.counts()[0][0], "one event waits for the slow one");
+                slowly.readTo(CHANGES + 1);
+                Rig.await("both in step", () -> service.inStep().equals(Set.of(0, 1)));
+            }
+            assertEquals(null, service.fault());
+        }
+    }
+
+    @Example
+    void whoCallsAgainGetsWhatItHasMissedAndWhoIsCutGetsNothingUntilItIsOver() throws Exception {
+        try (JournalService service = new JournalService(1 << 28)) {
+            service.tell(List.of(row(0, "ready"), row(1, "ready")));
+            service.tell(List.of(row(1, "draining")));
+            String address = service.watcher().get(0);
+            try (Caller first = new Caller(address, 1)) {
+                assertEquals("2", first.event()[0]);
+                service.cut(Set.of(0), true);
+                service.tell(List.of(row(1, "gone")));
+                Thread.sleep(100);
+                assertEquals(Set.of(), service.inStep());
+                service.cut(Set.of(0), false);
+                assertEquals("3", first.event()[0]);
+                service.away(true);
+                Rig.await("the reset", () -> {
+                    try {
+                        return first.in.read() < 0;
+                    } catch (IOException e) {
+                        return true;
+                    }
+                });
+            }
+            service.away(false);
+            try (Caller again = new Caller(address, 3); Caller anew = new Caller(address, 0)) {
+                service.tell(List.of(row(2, "ready")));
+                assertEquals("4", again.event()[0]);
+                String[] whole = anew.event();
+                assertTrue(whole[1].contains("\"whole\":true") && !whole[1].contains("s-1\""), whole[1]);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/reedspring/rig/scale/ScaleIT.java
@@ -0,0 +1,94 @@
+package reedspring.rig.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import net.jqwik.api.Example;
+import reedspring.rig.Rig;
+import reedspring.rig.fleet.Timetable;
+
+/** The scale run in small. Its verdict rests on rules and counts, never on times. */
+class ScaleIT {
+    private static final Path TABLE = Path.of("bench/timetables/scale-ci.ini");
+
+    @Example
+    void aFewOfEachKindKeepTheRules() throws Exception {
+        try (Run run = new Run(Timetable.read(TABLE), TABLE, new Scale.Size(24, 20, 2), 1, false)) {
+            Run.Result result = run.play();
+            System.out.println(result.line());
+            assertEquals(List.of(), result.broken());
+            double[] served = result.figures().stream().filter(f -> f.figure().equals("hollow_served")
+                    || f.figure().equals("hollow_asked")).mapToDouble(Figures.Figure::value).toArray();
+            assertTrue(served[0] > 300 && served[1] >= 0.9 * served[0], "served " + served[1] + " of "
+                    + served[0]);
+        }
+    }
+
+    private static Process main(Path out, Path errors) throws IOException {
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        return new ProcessBuilder(java, "-Xmx256m", "-cp", System.getProperty("java.class.path"), Scale.class.getName(),
+                "--timetable",
+                TABLE.toString(), "--real", "2", "--out", out.toString())
+                .redirectError(errors.toFile()).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+    }
+
+    private static String text(Path file) {
+        try {
+            return Files.readString(file, StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static void nothingIsLeft(List<ProcessHandle> children, Path out) throws Exception {
+        assertTrue(children.size() >= 5, "hosts and two fronts: " + children.size());
+        Rig.await("the end of all its processes", () -> children.stream().noneMatch(ProcessHandle::isAlive));
+        try (Stream<Path> left = Files.list(out)) {
+            assertEquals(List.of(), left.toList());
+        }
+    }
+
+    /** With SIGKILL, which it can't see. */
+    @Example
+    void aRunThatIsKilledHalfwayLeavesNoProcessAndNoResults() throws Exception {
+        Path out = Files.createTempDirectory("scale");
+        Path errors = Files.createTempFile("scale", ".log");
+        Process main = main(out, errors);
+        Rig.await("the run", () -> text(errors).contains("all follow") || !main.isAlive());
+        assertTrue(main.isAlive(), text(errors));
+        List<ProcessHandle> children = main.descendants().toList();
+        main.destroyForcibly();
+        nothingIsLeft(children, out);
+    }
+
+    @Example
+    void descriptorsThatRunOutHalfwayAreToldAndEndTheRun() throws Exception {
+        Path out = Files.createTempDirectory("scale");
+        Path errors = Files.createTempFile("scale", ".log");
+        Process main = main(out, errors);
+        Rig.await("the run", () -> text(errors).contains("all follow") || !main.isAlive());
+        assertTrue(main.isAlive(), text(errors));
+        List<ProcessHandle> children = main.descendants().toList();
+        assertEquals(0, new ProcessBuilder("prlimit", "--pid", Long.toString(main.pid()), "--nofile=64:")
+                .start().waitFor());
+        assertTrue(main.waitFor(Rig.PATIENCE_S, TimeUnit.SECONDS), text(errors));
+        assertNotEquals(0, main.exitValue());
+        assertTrue(text(errors).contains("Too many open files"), text(errors));
+        nothingIsLeft(children, out);
+    }
+
+    @Example
+    void aMachineThatIsTooSmallIsToldSoBeforeAnythingStarts() {
+        assertTrue(new Scale.Size(1_000_000, 100, 8).lacks().matches("[0-9]+ descriptors are needed .*"));
+        assertTrue(new Scale.Size(3_600, 25_000, 8).lacks().matches("[0-9]+ MB are needed .*"));
+        assertEquals(null, new Scale.Size(24, 20, 2).lacks());
+    }
+}
