--- a/src/rig/java/reedspring/rig/scale/JournalService.java
+++ b/src/rig/java/reedspring/rig/scale/JournalService.java
@@ -425,7 +425,8 @@
         return on(() -> {
             Set<Integer> set = new LinkedHashSet<>();
             watchers.stream().filter(watcher -> watcher.calls.stream().anyMatch(call ->
-                    call.position >= number && call.peer.isActive() && call.waits() == 0)).forEach(w -> set.add(w.at));
+                    call.position >= number && call.peer.isActive() && call.waits() == 0))
+                    .forEach(watcher -> set.add(watcher.at));
             return set;
         });
     }
--- a/src/test/java/reedspring/rig/scale/ScaleIT.java
+++ b/src/test/java/reedspring/rig/scale/ScaleIT.java
@@ -34,9 +34,9 @@
 
     private static Process main(Path out, Path errors) throws IOException {
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        return new ProcessBuilder(java, "-Xmx256m", "-cp", System.getProperty("java.class.path"), Scale.class.getName(),
-                "--timetable",
-                TABLE.toString(), "--real", "2", "--out", out.toString())
+        return new ProcessBuilder(java, "-Xmx256m", "-cp",
+                System.getProperty("java.class.path"), Scale.class.getName(),
+                "--timetable", TABLE.toString(), "--real", "2", "--out", out.toString())
                 .redirectError(errors.toFile()).redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
     }
 
