--- a/src/rig/java/reedspring/rig/scale/Fit.java
+++ b/src/rig/java/reedspring/rig/scale/Fit.java
@@ -2,7 +2,13 @@
 
 import java.util.Arrays;
 import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.apache.commons.math3.stat.regression.SimpleRegression;
+import reedspring.rig.scale.Figures.Figure;
 
 /**
  * A law through measured points by least squares: {@code scale * x^power}, or a line {@code base + slope
@@ -12,6 +18,14 @@
 public record Fit(boolean power, double base, double slope, double residual) {
     /** Least, middle and greatest of the repeats at one place; of an even count the lower middle. */
     public record Spread(double least, double median, double most, int repeats) {
+        /** By a factor, from its least value on. */
+        static Map<Double, Spread> by(Stream<Figure> figures, ToDoubleFunction<Figure> factor) {
+            Map<Double, Spread> places = new TreeMap<>();
+            figures.collect(Collectors.groupingBy(factor::applyAsDouble)).forEach((place, same) ->
+                    places.put(place, of(same.stream().mapToDouble(Figure::value).toArray())));
+            return places;
+        }
+
         static Spread of(double... values) {
             if (values.length == 0) {
                 throw new IllegalArgumentException("no repeat");
--- a/src/rig/java/reedspring/rig/scale/Slopes.java
+++ b/src/rig/java/reedspring/rig/scale/Slopes.java
@@ -119,8 +119,9 @@
                 more.subList(at, at + 2).clear();
             }
             boolean shortly = more.remove("--short");
-            System.out.println("figures=" + measure(Path.of(args[1]), seed, shortly,
-                    more.isEmpty() ? null : more.get(0)).size());
+            List<Figure> all = measure(Path.of(args[1]), seed, shortly, more.isEmpty() ? null : more.get(0));
+            System.out.println("figures=" + all.size() + " charts="
+                    + Charts.byEngines(all, Path.of(args[1])).size());
             return;
         }
         Slopes slopes = new Slopes(args[1], Long.parseLong(args[2]), Boolean.parseBoolean(args[3]),
@@ -196,24 +197,14 @@
         return (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) / 1e6;
     }
 
-    private void lists(Alone front, boolean again) throws IOException {
-        begin("control_list_first");
-        long before = cpu();
-        front.wholeList();
-        keep("control_list_first", "ms", 0, 0, (cpu() - before) / 1e6);
-        if (again) {
-            listAgain(front);
-        }
-    }
-
-    private void listAgain(Alone front) throws IOException {
-        begin("control_list_again");
+    private void list(String figure) throws IOException {
+        begin(figure);
         long before = cpu();
         front.wholeList();
-        keep("control_list_again", "ms", 0, 0, (cpu() - before) / 1e6);
+        keep(figure, "ms", 0, 0, (cpu() - before) / 1e6);
     }
 
-    private void events(Alone front, int most) throws IOException {
+    private void events(int most) throws IOException {
         keep("control_query", "us", 0, 0, each("control_query", most, front::query) / 1e3);
         keep("control_pulse", "us", 0, 0, each("control_pulse", most, front::pulse) / 1e3);
         keep("control_report", "us", 0, 0, each("control_report", most, front::report) / 1e3);
@@ -237,53 +228,48 @@
         }
     }
 
-    private void one(int size, int known, boolean again, int most) throws IOException {
+    private void one(int size, int known, int most) throws IOException {
         engines = size;
         fronts = known;
+        front = null;
+        double before = heapMb();
         front = new Alone(seed + repeat, known, size, ALL_QUERIES);
-        lists(front, again);
-        events(front, most);
-        heap();
-    }
-
-    /** With all that it has learnt meanwhile. */
-    private void heap() throws IOException {
-        double with = heapMb();
+        list("control_list_first");
+        events(most);
+        // With all that it has learnt meanwhile.
+        keep("control_heap", "MB", 0, 0, heapMb() - before);
         Rig.require(front.submits() > 1, "nothing was submitted");
-        front = null;
-        keep("control_heap", "MB", 0, 0, with - heapMb());
+        // Last, as it may not end in the time that there is.
+        list("control_list_again");
     }
 
     private void byEngines() throws IOException {
         warm();
         for (int size : ENGINES) {
             for (repeat = 1; repeat <= repeats() && !(shortly && size > 1_000); repeat++) {
-                one(size, FRONTS, true, 20_000);
+                one(size, FRONTS, 20_000);
             }
         }
     }
 
-    /** One repeat each; the whole list again comes last, as it may not end in the time that there is. */
+    /** One repeat each. */
     private void large() throws IOException {
         warm();
-        one(5_000, FRONTS, true, 400);
-        one(10_000, FRONTS, false, 60);
-        front = new Alone(seed + 1, FRONTS, engines, ALL_QUERIES);
-        front.wholeList();
-        listAgain(front);
+        one(5_000, FRONTS, 400);
+        one(10_000, FRONTS, 60);
     }
 
     /** The first list alone may take all the time that there is. */
     private void largest() throws IOException {
         warm();
-        one(LARGEST, FRONTS, false, 20);
+        one(LARGEST, FRONTS, 20);
     }
 
     private void byFronts() throws IOException {
         warm();
         for (int known : KNOWN) {
             for (repeat = 1; repeat <= repeats(); repeat++) {
-                one(HELD_ENGINES, known, true, 20_000);
+                one(HELD_ENGINES, known, 20_000);
             }
         }
     }
