--- a/src/rig/java/reedspring/rig/scale/Run.java
+++ b/src/rig/java/reedspring/rig/scale/Run.java
@@ -708,7 +708,7 @@
             }
         }
         double changes = journal.number() / seconds;
-        String run = "scale " + file.getFileName() + " seed " + seed;
+        String run = Slopes.commit() + " bench/scale " + file.getFileName() + " --seed " + seed;
         List<Figures.Figure> rows = figures.entrySet().stream().map(f -> new Figures.Figure(run, f.getKey(),
                 unit(f.getKey()), size.fronts(), size.engines(), HOLLOW_QUERIES, 0, changes, 1, f.getValue()))
                 .toList();
--- a/src/rig/java/reedspring/rig/scale/Scale.java
+++ b/src/rig/java/reedspring/rig/scale/Scale.java
@@ -6,6 +6,7 @@
 import java.lang.management.ManagementFactory;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
@@ -38,6 +39,8 @@
     private Path out;
     @Option(names = "--page", description = "prints the table of docs/CAPACITY.md from the kept figures")
     private boolean page;
+    @Option(names = "--slopes", description = "measures each factor alone instead, into --out")
+    private boolean slopes;
 
     public static void main(String[] args) {
         CommandLine line = new CommandLine(new Scale());
@@ -52,8 +55,18 @@
     @Override
     public Integer call() throws Exception {
         if (page) {
-            System.err.println("--page: not there yet");
-            return UNAVAILABLE;
+            System.out.print(Page.tables(Figures.readAll(Page.RESULTS)));
+            return 0;
+        }
+        if (slopes) {
+            if (out == null) {
+                System.err.println("bench/scale: --slopes needs --out");
+                return USAGE;
+            }
+            Files.createDirectories(out);
+            List<Figures.Figure> all = Slopes.measure(out, seed, shortly, null);
+            System.out.println("figures=" + all.size() + " charts=" + Charts.byEngines(all, out).size());
+            return 0;
         }
         Path file = timetable != null ? timetable
                 : Path.of("bench/timetables/" + (shortly ? "scale-short.ini" : "scale-day.ini"));
--- a/src/rig/java/reedspring/rig/scale/Slopes.java
+++ b/src/rig/java/reedspring/rig/scale/Slopes.java
@@ -100,10 +100,13 @@
         return List.of(told.split(" +"));
     }
 
-    private static String commit() throws IOException, InterruptedException {
-        Process git = new ProcessBuilder("git", "rev-parse", "--short=7", "HEAD").start();
+    /** Of this checkout, or unknown where it is none. */
+    static String commit() throws IOException {
+        Process git = new ProcessBuilder("git", "rev-parse", "--short=7", "HEAD")
+                .redirectError(ProcessBuilder.Redirect.DISCARD).start();
         String told = new String(git.getInputStream().readAllBytes(), StandardCharsets.UTF_8).trim();
-        return git.waitFor() == 0 && !told.isEmpty() ? told : "unknown";
+        // Its output has ended, so it ends, too.
+        return git.onExit().join().exitValue() == 0 && !told.isEmpty() ? told : "unknown";
     }
 
     /**
