--- a/src/rig/java/reedspring/rig/scale/Page.java
+++ b/src/rig/java/reedspring/rig/scale/Page.java
@@ -196,7 +196,6 @@
     }
 
     private void bytes() {
-        Fit size = fit(byEngines("journal_event"), false);
         Term event = atSize("journal_event");
         Term reading = atSize("journal_event_cpu");
         double bound = only("journal_event_bound", "B");
@@ -211,7 +210,7 @@
         need("journal, front", "a whole list in a front's bytes", event.value() / BYTES, PRIMARY_S, "s",
                 event.carried(), "%s B / %s B/s", event.value(), BYTES);
         // An event of one row, and a comment of two bytes each second.
-        double one = size.at(1);
+        double one = Alone.wholeEvent(1).length;
         need("journal, front", "bytes of an ordinary day", ROWS_A_DAY / DAY * one + 2, BYTES, "B/s",
                 "each row an event", "%s rows / %s s x %s B + 2 B/s", ROWS_A_DAY, DAY, one);
         need("journal, front", "a zone's rows in a front's bytes", ZONE * one / BYTES, PRIMARY_S, "s",
@@ -239,14 +238,16 @@
     }
 
     private void idle(Term control) {
-        Map<Double, Spread> idle = Spread.by(named("front_idle_memory"), f -> f.connections());
+        Map<Double, Spread> idle = Spread.by(named("front_idle_memory").filter(f -> f.connections() > 0),
+                f -> f.connections());
         Fit held = fit(idle, false);
         double most = idle.keySet().stream().mapToDouble(Double::doubleValue).max().orElseThrow();
         need("front", "memory with all its clients idle, at 8 engines, and the list's", held.at(CONNECTIONS)
                 + control.value(), MEMORY_MB * 1.048576, "MB", plain(CONNECTIONS / most) + " times "
                 + plain(most) + " connections, by the line", "%s + %s x %s MB + %s", held.base(), CONNECTIONS,
                 held.slope(), control.value());
-        Fit idleCpu = fit(Spread.by(named("front_idle_cpu"), f -> f.connections()), false);
+        Fit idleCpu = fit(Spread.by(named("front_idle_cpu").filter(f -> f.connections() > 0),
+                f -> f.connections()), false);
         need("front", "idle clients", idleCpu.at(CONNECTIONS), CONTROL_CORE, "core", plain(CONNECTIONS / most)
                 + " times " + plain(most) + " connections, by the line", "%s + %s x %s core", idleCpu.base(),
                 CONNECTIONS, idleCpu.slope());
--- a/src/test/java/reedspring/rig/scale/PageTest.java
+++ b/src/test/java/reedspring/rig/scale/PageTest.java
@@ -43,6 +43,7 @@
         assertTrue(ratios.size() >= 3 && ratios.stream().allMatch(r -> r > 1), unfit);
         assertEquals(ratios.stream().sorted((a, b) -> Double.compare(b, a)).toList(), ratios);
         assertTrue(!unfit.contains("reading the files"), unfit);
+        assertTrue(all.lines().noneMatch(line -> line.matches(".*[|x] -\\d.*")), "a need below 0: " + all);
     }
 
     @Example
@@ -75,7 +76,7 @@
             figures.add(figure("journal_event_cpu", "ms", 0, engines, 0, 0, engines / 1e3));
             figures.add(figure("journal_event_heap", "MB", 0, engines, 0, 0, engines / 1e3));
         }
-        for (int k = 0; k < 2; k++) {
+        for (int k = 1; k < 3; k++) {
             figures.add(figure("front_busy_cpu", "core", 1, 8, 100 + k * 100, 64, 0.05 + k * 0.02));
             figures.add(figure("front_idle_cpu", "core", 1, 8, 0, k * 1_000, 0.01));
             figures.add(figure("front_idle_memory", "MB", 1, 8, 0, k * 1_000, 60 + k * 10));
