A list of 25,000 engines is taken; one that does not fit says so, and one that comes slowly is not cut off

Below it the text was held four times (line, text, value, data) and then as a map for each engine, near a kilobyte each, beside the configuration's own. A list that took longer than 1.8 s to come was cut off as silence, as only whole lines were a sign of life. A row named twice ended its engine's connections each time, and one that was gone first and ready last lost its start.

Bytes and engines are bounded by the memory of the configuration: a forty-eighth of it, 160 bytes an engine, 25,000 with 192 MB. What is longer is read past and not held, told in the log, not asked for again; the list stays and later changes are heard. Changes past the number that fits are left out and told. 4 kB of a line are a sign of life; bytes that trickle are none. By name the last row counts, once. Rows that a whole list does not name any more go by hash sets.

The stand-in gives its signs now and the second line is a kind of its own; that has not been run.

--- a/src/main/java/reedspring/net/Journal.java
+++ b/src/main/java/reedspring/net/Journal.java
@@ -22,7 +22,6 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -43,8 +42,7 @@
     private InetSocketAddress service;
     private final Bootstrap dialer;
     private final SplittableRandom chance;
-    private final Map<Id.Engine, Long> bornMs = new LinkedHashMap<>();
-    private final Map<Id.Engine, Long> startedAt = new LinkedHashMap<>();
+    private Map<Id.Engine, Host> held = new LinkedHashMap<>();
     private long position;
     private long wait;
     private Channel channel;
@@ -73,18 +71,13 @@
 
     /** Hands over the list that the configuration holds. */
     void known(Map<?, ?> known) throws BootException {
-        Map<Id.Engine, Host> held = new LinkedHashMap<>();
         for (Object entry : Json.list(known.get("entries"), "known.entries")) {
             Map<?, ?> event = Json.map(entry, "known.entries");
             if (event.get("hosts") != null) {
                 Map<?, ?> list = Json.map(event.get("hosts"), "known.entries.hosts");
-                if (whole(list)) {
-                    held.clear();
-                }
-                hosts(list).forEach(host -> held.put(host.listing().engine(), host));
+                take(whole(list), hosts(list));
             }
         }
-        held.values().removeIf(host -> host.listing().health() == Health.GONE);
         position = Json.whole(known, "pos", 0);
         if (position > 0 || !held.isEmpty()) {
             front.listed(Reading.REMEMBERED, List.copyOf(held.values()));
@@ -167,7 +160,18 @@
     }
 
     private final class Stream extends ChannelInboundHandlerAdapter {
-        private final EventStream events = new EventStream(limits.journalBytes, this::event);
+        private final EventStream events = new EventStream(limits.journalBytes, limits.journalPart,
+                new EventStream.Reader() {
+                    @Override
+                    public void read(String id, byte[] data, int length) {
+                        event(id, data, length);
+                    }
+
+                    @Override
+                    public void tooLong(String id, long bytes) {
+                        notTaken("journal event too long, not taken", bytes, limits.journalBytes);
+                    }
+                });
         private boolean answered;
 
         @Override
@@ -205,12 +209,12 @@
             }
         }
 
-        private void event(String id, String data) {
+        private void event(String id, byte[] data, int length) {
             if (!channel.isOpen()) {
                 return;
             }
             try {
-                if (read(id, data)) {
+                if (read(id, data, length)) {
                     wait = limits.journalFirstWait;
                 } else {
                     channel.close();
@@ -240,12 +244,17 @@
     }
 
     /** False if events before it are missing and it has to be called again from the last one read. */
-    private boolean read(String id, String data) throws IOException, BootException {
-        Map<?, ?> event = Json.map(Json.read(data), "event");
+    private boolean read(String id, byte[] data, int length) throws IOException, BootException {
+        HostRow.Reader rows = new HostRow.Reader(limits.engines);
+        Map<?, ?> event = Json.map(Json.read(data, length, "hosts.hosts", rows), "event");
         long number = id.isEmpty() ? Json.whole(event, "pos", 0) : Json.whole(Map.of("id", id), "id", 0);
         if (number <= position) {
             return true;
         }
+        if (rows.rows() > limits.engines) {
+            notTaken("journal list of too many engines, not taken", rows.rows(), limits.engines);
+            return true;
+        }
         Map<?, ?> list = event.get("hosts") == null ? null : Json.map(event.get("hosts"), "hosts");
         boolean whole = list != null && whole(list);
         if (number > position + 1 && !whole) {
@@ -256,26 +265,39 @@
             }
             // Called again, and still not told: a late list is better than none.
         }
-        List<Host> hosts = list == null ? List.of() : hosts(list);
+        Map<Id.Engine, Host> hosts = list == null ? Map.of() : hosts(list);
         gapSeen = false;
         position = number;
         if (list != null) {
-            // Names are new with each engine; what is kept of one goes with it.
-            hosts.stream().filter(host -> host.listing().health() == Health.GONE).forEach(host -> {
-                bornMs.remove(host.listing().engine());
-                startedAt.remove(host.listing().engine());
-            });
-            if (whole) {
-                // Who is not named any more has gone without a word.
-                List<Id.Engine> named = hosts.stream().map(host -> host.listing().engine()).toList();
-                bornMs.keySet().retainAll(named);
-                startedAt.keySet().retainAll(named);
-            }
-            front.listed(whole ? Reading.COMPLETE : Reading.CHANGES, hosts);
+            take(whole, hosts);
+            front.listed(whole ? Reading.COMPLETE : Reading.CHANGES, List.copyOf(hosts.values()));
         }
         return true;
     }
 
+    /** The list held so far stays. A call from before the event would bring the same again. */
+    private void notTaken(String what, long size, long most) {
+        front.log().line(what, size + " of " + most);
+        gapSeen = true;
+    }
+
+    /** Names are new with each engine; what is kept of one goes with it, also if it goes without a word. */
+    private void take(boolean whole, Map<Id.Engine, Host> hosts) {
+        if (whole) {
+            held = new LinkedHashMap<>();
+        }
+        if (held.size() + hosts.size() > limits.engines) {
+            leaveOut(hosts);
+        }
+        hosts.forEach((id, host) -> {
+            if (gone(host)) {
+                held.remove(id);
+            } else {
+                held.put(id, host);
+            }
+        });
+    }
+
     /** The number of the last event read. */
     long position() {
         return position;
@@ -283,46 +305,45 @@
 
     /** Of how many engines something is kept here. */
     int held() {
-        return startedAt.size();
+        return held.size();
     }
 
     private static boolean whole(Map<?, ?> list) {
         return "true".equals(list.get("whole"));
     }
 
-    private List<Host> hosts(Map<?, ?> list) throws BootException {
-        List<Host> hosts = new ArrayList<>();
-        for (Object entry : Json.list(list.get("hosts"), "hosts")) {
-            Map<?, ?> host = Json.map(entry, "hosts");
-            Id.Engine engine = new Id.Engine(Json.text(host, "host"));
-            Health health = health(Json.text(host, "health"));
-            hosts.add(new Host(new Event.Listing(engine, new Id.Kind(optional(host, "class")),
-                    new Id.Zone(optional(host, "site")), new Id.Cell(Json.whole(host, "block", 0)), health,
-                    started(engine, Json.whole(host, "born_ms", 0))),
-                    Startup.address(Json.text(host, "dial"), "dial")));
+    /** Of those that are not held yet, what is past the limit. */
+    private void leaveOut(Map<Id.Engine, Host> hosts) {
+        int before = hosts.size();
+        int[] room = {limits.engines - held.size()};
+        hosts.values().removeIf(host -> !gone(host) && !held.containsKey(host.listing().engine())
+                && --room[0] < 0);
+        if (hosts.size() < before) {
+            front.log().line("engines at their limit, left out", before - hosts.size() + " of " + before);
         }
-        return hosts;
     }
 
-    /** The same start is the same moment each time it is named, whatever the system's clock did meanwhile. */
-    private long started(Id.Engine engine, long born) {
-        if (bornMs.getOrDefault(engine, -1L) != born) {
-            bornMs.put(engine, born);
-            startedAt.put(engine, front.clock().ofUnixMs(born));
-        }
-        return startedAt.get(engine);
+    private static boolean gone(Host host) {
+        return host.listing().health() == Health.GONE;
     }
 
-    private static String optional(Map<?, ?> host, String field) {
-        return host.get(field) instanceof String text ? text : "";
+    /** By name: of one that is named twice, the last word counts, once. */
+    private Map<Id.Engine, Host> hosts(Map<?, ?> list) throws BootException {
+        Map<Id.Engine, Host> hosts = new LinkedHashMap<>();
+        for (Object entry : Json.list(list.get("hosts"), "hosts")) {
+            if (!(entry instanceof HostRow row)) {
+                throw new BootException("hosts", "holds what is no object");
+            }
+            hosts.put(row.engine(), new Host(new Event.Listing(row.engine(), row.kind(), row.zone(),
+                    row.cell(), row.health(), startedAt(row)), row.address(), row.bornMs()));
+        }
+        return hosts;
     }
 
-    private static Health health(String word) throws BootException {
-        return switch (word) {
-            case "ready" -> Health.UP;
-            case "draining" -> Health.DRAINING;
-            case "gone" -> Health.GONE;
-            default -> throw new BootException("health", "'" + word + "' is no state of an engine");
-        };
+    /** The same start is the same moment each time it is named, whatever the system's clock did meanwhile. */
+    private long startedAt(HostRow row) {
+        Host before = held.get(row.engine());
+        return before != null && before.bornMs() == row.bornMs() ? before.listing().startedAt()
+                : front.clock().ofUnixMs(row.bornMs());
     }
 }
--- a/src/main/java/reedspring/net/Json.java
+++ b/src/main/java/reedspring/net/Json.java
@@ -21,10 +21,33 @@
     private Json() {
     }
 
+    /** Makes something smaller of an object as it is read: of a long list no map of each has to be held. */
+    interface Element {
+        Object of(Map<?, ?> object) throws BootException;
+    }
+
     /** @throws IOException if the text is no JSON or nests deeper than the parser allows */
     static Object read(String text) throws IOException {
-        try (JsonParser parser = FACTORY.createParser(text)) {
-            Object value = value(parser, parser.nextToken());
+        try {
+            return read(FACTORY.createParser(text), null, null);
+        } catch (BootException e) {
+            throw new IllegalStateException("nothing was made of it", e);
+        }
+    }
+
+    /**
+     * @param path the names, with dots between, that lead to the lists whose objects {@code each} is given
+     * @throws IOException as above
+     * @throws BootException where {@code each} can't use an object
+     */
+    static Object read(byte[] text, int length, String path, Element each) throws IOException, BootException {
+        return read(FACTORY.createParser(text, 0, length), path, each);
+    }
+
+    private static Object read(JsonParser parser, String path, Element each)
+            throws IOException, BootException {
+        try (parser) {
+            Object value = value(parser, parser.nextToken(), path == null ? null : "." + path, each);
             if (parser.nextToken() != null) {
                 throw new IOException("something follows the end");
             }
@@ -32,19 +55,22 @@
         }
     }
 
-    private static Object value(JsonParser parser, JsonToken token) throws IOException {
+    /** {@code path} is what is left of it from here on, null if it leads elsewhere. */
+    private static Object value(JsonParser parser, JsonToken token, String path, Element each)
+            throws IOException, BootException {
         if (token == JsonToken.START_OBJECT) {
             Map<String, Object> map = new LinkedHashMap<>();
             while (parser.nextToken() != JsonToken.END_OBJECT) {
                 String name = parser.currentName();
-                map.put(name, value(parser, parser.nextToken()));
+                map.put(name, value(parser, parser.nextToken(), beyond(path, name), each));
             }
             return map;
         }
         if (token == JsonToken.START_ARRAY) {
             List<Object> list = new ArrayList<>();
             while (parser.nextToken() != JsonToken.END_ARRAY) {
-                list.add(value(parser, parser.currentToken()));
+                Object element = value(parser, parser.currentToken(), path, each);
+                list.add("".equals(path) && element instanceof Map<?, ?> map ? each.of(map) : element);
             }
             return list;
         }
@@ -54,6 +80,12 @@
         return token == JsonToken.VALUE_NULL ? null : parser.getText();
     }
 
+    private static String beyond(String path, String name) {
+        return path != null && path.startsWith(name, 1)
+                && (path.length() == name.length() + 1 || path.charAt(name.length() + 1) == '.')
+                ? path.substring(name.length() + 1) : null;
+    }
+
     static Map<?, ?> map(Object value, String field) throws BootException {
         if (value instanceof Map<?, ?> map) {
             return map;
--- a/src/main/java/reedspring/net/Limits.java
+++ b/src/main/java/reedspring/net/Limits.java
@@ -80,7 +80,12 @@
     final int journalConnect = 1_000;
     final int journalFirstWait = 50;
     final int journalLongestWait = 500;
-    final int journalBytes = 1 << 20;
+    /** Of an event. A list of all engines is one. */
+    final int journalBytes;
+    /** Of a line that goes on: so many are a sign of life, as a whole line is. Less is no pace of a list. */
+    final int journalPart = 4096;
+    /** Engines that are held at a time. */
+    final int engines;
     /** After which the journal's socket is looked at again before anything is decided or sent. */
     final int newsAge = 10;
     /** An alarm that is later than this shows that the loop stood still. */
@@ -105,6 +110,12 @@
         // A twelfth of the memory. Buffers have a quarter and grow by doubling: a tenth, doubled, left too
         // little for reads and what lies between, and four floods in eight met the end of direct memory.
         heldBytes = (memoryMb << 20) / 12;
+        // The heap is seven parts in 24. While a list is read, its text is held twice as the buffer grows;
+        // each of its engines is reckoned at 1.3 kB here, in the decisions and in the list before. By 160
+        // bytes of text for each that is some ten times the text, most of the heap with a forty-eighth of
+        // the memory: 25,000 engines with 192 MB.
+        journalBytes = (int) Math.min(1 << 29, (memoryMb << 20) / 48);
+        engines = journalBytes / 160;
         // What remains after the process's own stands open to clients, who come in any number, to engines and
         // to connections that end. Their sum stays under the limit, so that a call to the journal service is
         // always possible: idle clients may fill their part for as long as discovery is down.
--- a/src/main/java/reedspring/net/Startup.java
+++ b/src/main/java/reedspring/net/Startup.java
@@ -267,7 +267,9 @@
             throw new BootException("RELAY_CONFIG", "missing");
         }
         try {
-            return Json.map(Json.read(Files.readString(Path.of(path))), "RELAY_CONFIG");
+            byte[] text = Files.readAllBytes(Path.of(path));
+            return Json.map(Json.read(text, text.length, "known.entries.hosts.hosts",
+                    new HostRow.Reader(Integer.MAX_VALUE)), "RELAY_CONFIG");
         } catch (IOException e) {
             throw new BootException("RELAY_CONFIG", "can't be read: " + String.valueOf(e.getMessage()).lines()
                     .findFirst().orElse(""));
--- a/src/rig/java/reedspring/rig/JournalStandIn.java
+++ b/src/rig/java/reedspring/rig/JournalStandIn.java
@@ -15,6 +15,9 @@
     /** When it was called, in nanoseconds of the steady clock. */
     public final List<Long> calledAt = new CopyOnWriteArrayList<>();
     private final List<String> told = new ArrayList<>();
+    /** What is sent by several comes whole. */
+    private final Object wire = new Object();
+    private StringBuilder gathered;
 
     public JournalStandIn() throws IOException {
         this(0);
@@ -52,6 +55,18 @@
         }
     }
 
+    /** All that is told meanwhile goes out in one piece, which the caller may read as slowly as it likes. */
+    public void together(Runnable telling) {
+        String all;
+        synchronized (told) {
+            gathered = new StringBuilder();
+            telling.run();
+            all = gathered.toString();
+            gathered = null;
+        }
+        sign(all);
+    }
+
     /** The number of the last event. */
     public int position() {
         synchronized (told) {
@@ -68,7 +83,9 @@
 
     private void sign(String text) {
         try {
-            if (!accepted.isEmpty()) {
+            if (gathered != null) {
+                gathered.append(text);
+            } else if (!accepted.isEmpty()) {
                 send(text);
             }
         } catch (IOException e) {
@@ -77,7 +94,9 @@
     }
 
     public void send(String text) throws IOException {
-        accepted.get(accepted.size() - 1).getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        synchronized (wire) {
+            accepted.get(accepted.size() - 1).getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        }
     }
 
     /** Whether the caller has ended its call. */
--- a/src/test/java/reedspring/net/CodecTest.java
+++ b/src/test/java/reedspring/net/CodecTest.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -105,8 +106,7 @@
         quiet(new EmbeddedChannel(new RpcDecoder(limits(), more -> true)), noise, chance);
         quiet(new EmbeddedChannel(new RedisDecoder(), new AnswerDecoder(limits())), noise, chance);
         Statement.dataSet(Unpooled.wrappedBuffer(noise));
-        new EventStream(1000, (id, data) -> assertTrue(data.length() <= 1000)).feed(
-                Unpooled.wrappedBuffer(noise));
+        events(1000, (id, data) -> assertTrue(data.length() <= 1000)).feed(Unpooled.wrappedBuffer(noise));
         try {
             Json.read(new String(noise, StandardCharsets.ISO_8859_1));
         } catch (IOException e) {
@@ -184,11 +184,49 @@
         }
     }
 
+    private static EventStream events(int most, BiConsumer<String, String> reader) {
+        return new EventStream(most, 64, new EventStream.Reader() {
+            @Override
+            public void read(String id, byte[] data, int length) {
+                reader.accept(id, new String(data, 0, length, StandardCharsets.UTF_8));
+            }
+
+            @Override
+            public void tooLong(String id, long bytes) {
+                assertTrue(bytes > most, bytes + " bytes");
+                reader.accept(id, "too long");
+            }
+        });
+    }
+
+    /** What is let go by costs no other event; only a whole line or a good part of one is a sign of life. */
+    @Property(tries = 60, seed = "35")
+    void anEventThatIsTooLongIsToldAndTheNextComesOutWhole(@ForAll long seed) {
+        SplittableRandom chance = new SplittableRandom(seed);
+        List<String> seen = new ArrayList<>();
+        EventStream events = events(200, (id, data) -> seen.add(id + "|" + data));
+        String end = List.of("\n", "\r\n", "\r").get(chance.nextInt(3));
+        String fits = "x".repeat(200 - "data: ".length());
+        String half = "data: " + "y".repeat(100);
+        byte[] sent = String.join(end, "id: 1", "data: " + fits, "", "id: 2", "data: " + fits + "x", "",
+                "id: 3", half, half, "data: z", "", "", ":" + "c".repeat(300), "data: lost with it", "",
+                "id: 4", "data: whole", "", "")
+                .getBytes(StandardCharsets.UTF_8);
+        for (int at = 0; at < sent.length; ) {
+            int size = Math.min(sent.length - at, 1 + chance.nextInt(12));
+            events.feed(Unpooled.wrappedBuffer(sent, at, size));
+            at += size;
+        }
+        assertEquals(List.of("1|" + fits, "2|too long", "3|too long", "3|too long", "4|whole"), seen);
+        assertFalse(events.feed(Unpooled.wrappedBuffer("z".repeat(63).getBytes(StandardCharsets.UTF_8))));
+        assertTrue(events.feed(Unpooled.wrappedBuffer("z".getBytes(StandardCharsets.UTF_8))));
+    }
+
     @Property(tries = 60, seed = "34")
     void eventsComeOutWholeWhateverThePieces(@ForAll long seed) {
         SplittableRandom chance = new SplittableRandom(seed);
         List<String> seen = new ArrayList<>();
-        EventStream events = new EventStream(1 << 16, (id, data) -> seen.add(id + "|" + data));
+        EventStream events = events(1 << 16, (id, data) -> seen.add(id + "|" + data));
         String end = List.of("\n", "\r\n", "\r").get(chance.nextInt(3));
         byte[] sent = String.join(end, ": hello", "", "id: 7", "event: odd",
                 "data: {\"a\":", "data:\"\u00e9\"}",
--- a/src/test/java/reedspring/net/LoopTest.java
+++ b/src/test/java/reedspring/net/LoopTest.java
@@ -81,7 +81,7 @@
 
     private static Host listed(String name, EngineStandIn engine, Event.Health health) throws Exception {
         return new Host(new Event.Listing(new Id.Engine(name), new Id.Kind("m"), new Id.Zone("a"),
-                new Id.Cell(0), health, 0), Startup.address(engine.address(), "dial"));
+                new Id.Cell(0), health, 0), Startup.address(engine.address(), "dial"), 0);
     }
 
     /** Queries first, then the notice, and both are in the sockets when the loop goes on. */
