--- a/src/main/java/reedspring/net/Engines.java
+++ b/src/main/java/reedspring/net/Engines.java
@@ -16,7 +16,7 @@
 import reedspring.api.Id;
 
 /** The connections to all engines, a few to each. */
-final class Engines {
+final class Engines implements SubmissionRunner {
     private final Limits limits;
     private final Front front;
     private final Rows rows;
@@ -47,7 +47,8 @@
                 .option(ChannelOption.TCP_NODELAY, true);
     }
 
-    void listed(Event.Reading reading, List<Host> hosts) {
+    @Override
+    public void listed(Event.Reading reading, List<Host> hosts) {
         lists++;
         for (Host host : hosts) {
             Id.Engine id = host.listing().engine();
@@ -78,7 +79,8 @@
                 .forEach(link -> List.copyOf(link.connections).forEach(EngineConnection::retire));
     }
 
-    void send(Id.Engine engine, Submission s) {
+    @Override
+    public void send(Id.Engine engine, Submission s) {
         Link link = links.get(engine);
         if (link == null) {
             front.closed(s, Event.Outcome.UNREACHABLE);
@@ -149,7 +151,8 @@
         return rested != null;
     }
 
-    void tick(long now) {
+    @Override
+    public void tick(long now) {
         for (Link link : List.copyOf(connected)) {
             for (EngineConnection connection : List.copyOf(link.connections)) {
                 connection.tick(now);
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
 import reedspring.Control;
@@ -37,8 +38,10 @@
     private final Limits limits;
     private final Clock clock;
     private final Log log;
+    private final StallProbe probe;
     private final Timers timers;
-    private final Engines engines;
+    private final DeadlineMisses misses;
+    private final SubmissionRunner engines;
     private final Control control;
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     /** What is known of engines goes before all else that has come. */
@@ -60,18 +63,29 @@
     private boolean listed;
     private boolean leaving;
     private long stayUntil = Long.MAX_VALUE;
+    private long accepted;
+    private long acceptedAtLook;
     private long ids;
     private long held;
     private long sumAt;
 
     Front(EventLoop loop, Turns turns, Boot boot, Limits limits, Log log, long seed) {
+        this(loop, turns, boot, limits, log, seed, front -> new Engines(loop, limits, front));
+    }
+
+    /** {@code runner} makes what runs submissions; it may not use the front before this has returned. */
+    Front(EventLoop loop, Turns turns, Boot boot, Limits limits, Log log, long seed,
+            Function<Front, SubmissionRunner> runner) {
         this.loop = loop;
         this.boot = boot;
         this.limits = limits;
         this.clock = new Clock();
         this.log = log;
-        this.timers = new Timers(loop, turns, clock, log, limits);
-        this.engines = new Engines(loop, limits, this);
+        this.probe = new StallProbe(log, limits.stoodStill);
+        turns.watchedBy(probe);
+        this.timers = new Timers(loop, turns, clock, log, limits, probe);
+        this.misses = new DeadlineMisses(limits, clock, timers, log);
+        this.engines = runner.apply(this);
         this.sumAt = clock.now() + limits.logEvery * 10L;
         deciding = true;
         this.control = new Control(seed, boot.deployment(), clock.now(), this::act);
@@ -87,10 +101,18 @@
         return log;
     }
 
+    StallProbe probe() {
+        return probe;
+    }
+
     Timers timers() {
         return timers;
     }
 
+    DeadlineMisses misses() {
+        return misses;
+    }
+
     Limits limits() {
         return limits;
     }
@@ -169,6 +191,7 @@
 
     /** False if the connection is one too many. */
     boolean came(ClientConnection client) {
+        accepted++;
         if (newcomers.size() + clients.size() >= limits.clientConnections) {
             log.line("client connections at their limit", Integer.toString(limits.clientConnections));
             ClientConnection idle = leastClaim();
@@ -286,6 +309,7 @@
         OpenQuery q = new OpenQuery(new Id.Query(++ids), call.id(), client, trace, call.method(),
                 call.body().retain(), Math.min(stayUntil,
                         arrivedAt + Times.nearest(patience)));
+        q.takenAt = arrivedAt;
         q.mark = fields.get("nonce");
         q.paged = kept != null && "1".equals(fields.get("pages"));
         if (q.paged) {
@@ -319,9 +343,10 @@
         }
     }
 
-    /** The client has gone or has revoked it. */
-    void left(OpenQuery q) {
+    /** The client has gone or has revoked it, or the front ended its connection. */
+    void left(OpenQuery q, boolean endedHere) {
         if (!q.answered) {
+            misses.unanswered(q, endedHere);
             q.answered = true;
             on(new Event.Left(q.id));
             forget(q);
@@ -378,12 +403,14 @@
             while (!news.isEmpty() || !events.isEmpty()) {
                 refresh();
                 Event next = news.isEmpty() ? events.poll() : news.poll();
+                long began = probe.decides();
                 try {
                     control.on(clock.now(), next, this::act);
                 } catch (RuntimeException | Error e) {
                     // What it was about is answered at its time at the latest, by the front itself.
                     log.fault("a decision failed", e);
                 }
+                probe.decided(began, next);
             }
         } finally {
             deciding = false;
@@ -633,6 +660,8 @@
 
     private void leaveLater(long since, Runnable left) {
         long gone = clock.now() - since;
+        boolean moreCame = accepted != acceptedAtLook;
+        acceptedAtLook = accepted;
         if (gone < limits.leavingQuiet * 10L || !allAnswered() && gone < limits.leavingLongest * 10L
                 + limits.lastResort * 20L) {
             timers.in(100, () -> leaveLater(since, left));
@@ -640,7 +669,11 @@
         }
         // Nothing can come any more but on connections that rest here. What lies unread there is still taken.
         Stream.concat(newcomers.stream(), clients.stream()).toList().forEach(ClientConnection::there);
-        if (!allAnswered() && gone < limits.leavingLongest * 10L) {
+        // A turn accepts some connections only, and reads a part of a long query. After a stop of the loop
+        // the others still wait in the listener's queue, which ends with it: all of them would be reset.
+        boolean more = moreCame || newcomers.stream().anyMatch(ClientConnection::midway)
+                || clients.stream().anyMatch(ClientConnection::midway);
+        if ((more || !allAnswered()) && gone < limits.leavingLongest * 10L) {
             timers.in(100, () -> leaveLater(since, left));
             return;
         }
--- a/src/main/java/reedspring/net/Timers.java
+++ b/src/main/java/reedspring/net/Timers.java
@@ -15,6 +15,9 @@
     private final Clock clock;
     private final Log log;
     private final Limits limits;
+    private final StallProbe probe;
+    private final Turns turns;
+    private final Runnable read = this::read;
     private final PriorityQueue<Due> queue = new PriorityQueue<>(
             Comparator.comparingLong((Due due) -> due.at).thenComparingLong(due -> due.order));
     private long order;
@@ -22,6 +25,7 @@
     private long alarmAt = Long.MAX_VALUE;
     private long behindSince = Long.MAX_VALUE;
     private boolean readFirst;
+    private boolean stopped;
 
     static final class Due {
         private final long at;
@@ -35,21 +39,35 @@
         }
     }
 
-    Timers(EventLoop loop, Turns turns, Clock clock, Log log, Limits limits) {
+    Timers(EventLoop loop, Turns turns, Clock clock, Log log, Limits limits, StallProbe probe) {
         this.loop = loop;
         this.clock = clock;
         this.log = log;
         this.limits = limits;
-        turns.afterReading(this::read);
+        this.probe = probe;
+        this.turns = turns;
+        turns.afterReading(read);
     }
 
     Due at(long time, Runnable what) {
         Due due = new Due(time, order++, what);
-        queue.add(due);
-        arm();
+        if (!stopped) {
+            queue.add(due);
+            arm();
+        }
         return due;
     }
 
+    /** Nothing is due any more. For a front that ends while its loop goes on with others. */
+    void stop() {
+        stopped = true;
+        queue.clear();
+        turns.noMore(read);
+        if (alarm != null) {
+            alarm.cancel(false);
+        }
+    }
+
     Due in(long tenths, Runnable what) {
         return at(clock.now() + tenths, what);
     }
@@ -91,7 +109,6 @@
         if (behind > limits.stoodStill * 10L) {
             // Who owes an answer, or nothing for too long, shows only once all that has come is read: a stop
             // of this process must not pass for the others' silence.
-            log.line("the loop stood still", behind / 10 + " ms");
             readFirst = true;
             alarmAt = Long.MIN_VALUE;
             alarm = loop.schedule(() -> { }, 1, TimeUnit.NANOSECONDS);
@@ -112,11 +129,14 @@
 
     private void runDue() {
         for (long now = clock.now(); !queue.isEmpty() && queue.peek().at <= now; ) {
+            probe.begin("alarm");
             try {
                 queue.poll().what.run();
             } catch (RuntimeException | Error e) {
                 // Whatever failed, the alarm below has to be set again: without it nothing ends in time.
                 log.fault("a timer failed", e);
+            } finally {
+                probe.end();
             }
         }
         arm();
