Reloads are done one after another: a stale file can no longer be the last in force

Cause: the JVM starts a thread for each signal, and these ran at the same time.

Seen in a run of FrontIT beside another build: onSighupItFollowsTheJournalAtItsNewAddressAndServesOn waited 20 s in vain for a call that stays at the last address. The front's log of that run was not kept; ruled out by the code: an address comes into use only through a reload, a call that ends is made again within 0.5 s, and a file is put in place whole. Which of them it was is therefore deduced, not read.

Change: reading the file and handing over its address are one step under a lock.

The same test failed once more with the lock (one of 34, beside another build): the news was lost. It was sent to the newest socket, and a sign of life 50 ms later to the newest socket again, which may have been another one, so that news sent to a call that was just being ended counted as come. It is now told as the service does, by its number: a call that was not told is told it when it calls. As strict as before: the front has to follow the last address and use the engine that is named there only. That this was the cause is deduced from the test's code, too, as no log was kept.

--- a/src/main/java/reedspring/net/Startup.java
+++ b/src/main/java/reedspring/net/Startup.java
@@ -98,7 +98,7 @@
         String path = environment.get("RELAY_CONFIG");
         // Both before all else: a signal that comes during the start would end the process, or be lost.
         Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(raised.get())));
-        // The JVM would end on SIGHUP. It hands a signal to a thread of its own, several one after another.
+        // The JVM would end on SIGHUP. It hands each signal to a thread of its own, several at the same time.
         // Started with SIGHUP ignored, as nohup does it, it leaves that so, and no reload would be heard.
         Reloads reloads = new Reloads();
         boolean deaf = Signal.handle(new Signal("HUP"), signal -> reloads.wanted()) == SignalHandler.SIG_IGN;
@@ -137,8 +137,11 @@
         }
     }
 
-    /** One that is wanted before the front is up is made up for: the file may have been read just before. */
-    private static final class Reloads {
+    /**
+     * One that is wanted before the front is up is made up for: the file may have been read just before.
+     * They are done one after another, or one that had read an earlier file could be the last to be in force.
+     */
+    static final class Reloads {
         private final AtomicBoolean wanted = new AtomicBoolean();
         private volatile Runnable reload = () -> { };
 
@@ -156,7 +159,7 @@
             run();
         }
 
-        private void run() {
+        private synchronized void run() {
             reload.run();
         }
     }
--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -665,17 +665,10 @@
         }
         await("the call at the last address", () -> !last.calledFrom.isEmpty());
         EngineStandIn added = engine(1);
-        // Of two signals after the last file, the second ends the first one's call.
-        await("the news on the call that stays", () -> {
-            try {
-                last.send("id: 2\ndata: " + event(2, true, host("e9", added.address(), "ready")) + "\n\n");
-                Thread.sleep(50);
-                last.send(":\n");
-                return true;
-            } catch (IOException | InterruptedException e) {
-                return false;
-            }
-        });
+        // Of two signals after the last file, the second ends the first one's call: told to that, the news is
+        // told again to the call that stays.
+        last.tell(true);
+        last.tell(true, host("e9", added.address(), "ready"));
         await("the new engine in use", () -> {
             try {
                 serves();
