--- a/src/rig/java/reedspring/net/JournalReading.java
+++ b/src/rig/java/reedspring/net/JournalReading.java
@@ -2,17 +2,17 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.TooLongFrameException;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.Map;
 import reedspring.boot.Boot;
 import reedspring.boot.BootException;
 
-/** How a front reads one event of the journal service, with no front: the stream's lines, then its JSON. */
+/** How a front reads one event of the journal service, with no front: the stream's lines, then its rows. */
 public final class JournalReading {
     private static final int READ = 16_384;
+    /** Bytes of a line that are a sign of life; nothing here goes by them. */
+    private static final int SIGN = 4_096;
     private Object held;
 
     /** Lets go of what was read last. */
@@ -20,7 +20,7 @@
         held = null;
     }
 
-    /** What one event may hold before the stream is given up, bytes. */
+    /** What one event may hold before it is read past and not taken, bytes. */
     public static int most() throws BootException {
         return new Limits(new Boot(Map.of()), 1024, 256).journalBytes;
     }
@@ -39,19 +39,26 @@
      */
     public int read(byte[] event, int most) {
         held = null;
-        EventStream stream = new EventStream(most, (id, data) -> {
-            try {
-                held = Json.read(data);
-            } catch (IOException e) {
-                throw new UncheckedIOException(e);
+        EventStream stream = new EventStream(most, SIGN, new EventStream.Reader() {
+            @Override
+            public void read(String id, byte[] data, int length) {
+                try {
+                    held = Json.read(data, length, "hosts.hosts", new HostRow.Reader(Integer.MAX_VALUE));
+                } catch (IOException | BootException e) {
+                    throw new IllegalStateException("the rig's own event can't be read", e);
+                }
             }
-        });
-        try {
-            for (int from = 0; from < event.length; from += READ) {
-                ByteBuf piece = Unpooled.wrappedBuffer(event, from, Math.min(READ, event.length - from));
-                stream.feed(piece);
+
+            @Override
+            public void tooLong(String id, long bytes) {
+                held = null;
             }
-        } catch (TooLongFrameException e) {
+        });
+        for (int from = 0; from < event.length; from += READ) {
+            ByteBuf piece = Unpooled.wrappedBuffer(event, from, Math.min(READ, event.length - from));
+            stream.feed(piece);
+        }
+        if (held == null) {
             return -1;
         }
         Map<?, ?> list = (Map<?, ?>) ((Map<?, ?>) held).get("hosts");
