--- a/src/test/java/reedspring/net/ListSizeTest.java
+++ b/src/test/java/reedspring/net/ListSizeTest.java
@@ -11,7 +11,8 @@
 class ListSizeTest {
     private static byte[] event(int rows) {
         String[] hosts = IntStream.range(0, rows).mapToObj(k -> JournalStandIn.host(
-                String.format("s-%08x", k), "10.0." + k / 250 + "." + k % 250 + ":5050", "ready"))
+                String.format("s-%08x", k), "10." + k / 62_500 + "." + k / 250 % 250 + "." + k % 250 + ":5050",
+                "ready"))
                 .toArray(String[]::new);
         return ("id: 1\ndata: " + JournalStandIn.event(1, true, hosts) + "\n\n")
                 .getBytes(StandardCharsets.US_ASCII);
@@ -22,16 +23,13 @@
         return event(rows).length - "id: 1\n\n\n".length();
     }
 
-    /** The greatest list that the bound lets pass is read with all its rows, one row more not at all. */
+    /** Found by halves. The greatest list that the bound lets pass is read with all its rows, one row more not at all. */
     @Example
     void aWholeListIsReadUpToTheBoundOfAnEventAndNotPastIt() throws Exception {
         int most = JournalReading.most();
-        int rows = most / (event(2_000).length / 2_000);
-        while (line(rows + 1) <= most) {
-            rows++;
-        }
-        while (line(rows) > most) {
-            rows--;
+        int rows = 0;
+        for (int step = 1 << 16; step > 0; step >>= 1) {
+            rows += line(rows + step) <= most ? step : 0;
         }
         JournalReading reading = new JournalReading();
         assertEquals(rows, reading.read(event(rows), most));
