--- a/src/test/java/reedspring/net/ListSizeTest.java
+++ b/src/test/java/reedspring/net/ListSizeTest.java
@@ -11,8 +11,8 @@
 class ListSizeTest {
     private static byte[] event(int rows) {
         String[] hosts = IntStream.range(0, rows).mapToObj(k -> JournalStandIn.host(
-                String.format("s-%08x", k), "10." + k / 62_500 + "." + k / 250 % 250 + "." + k % 250 + ":5050",
-                "ready"))
+                String.format("s-%08x", k),
+                "10." + k / 62_500 + "." + k / 250 % 250 + "." + k % 250 + ":5050", "ready"))
                 .toArray(String[]::new);
         return ("id: 1\ndata: " + JournalStandIn.event(1, true, hosts) + "\n\n")
                 .getBytes(StandardCharsets.US_ASCII);
@@ -23,7 +23,7 @@
         return event(rows).length - "id: 1\n\n\n".length();
     }
 
-    /** Found by halves. The greatest list that the bound lets pass is read with all its rows, one row more not at all. */
+    /** The greatest list that the bound lets pass is read with all its rows, one row more not at all. */
     @Example
     void aWholeListIsReadUpToTheBoundOfAnEventAndNotPastIt() throws Exception {
         int most = JournalReading.most();
