Accepting goes on after a failure, EINTR ends no connection, arrivals are bounded by the selector

Accept: AcceptGuard stands before the library's acceptor and keeps exceptions from it. The end of the front waits for what could not be accepted yet. Arrival: ArrivalBound is the last moment at which the selector shows the socket to have been empty (start of the poll before the one that reported it); of a new connection, the same of the listener. After a stop both are read until nothing more comes, so that a short read proves nothing. The bound costs a client at most two polls of its patience (pulses: 25 ms each). Reasons are counted (Counters) and told with the log's sums.

--- a/src/main/java/reedspring/net/ClientConnection.java
+++ b/src/main/java/reedspring/net/ClientConnection.java
@@ -24,6 +24,7 @@
     /** Pages that are being read for it. */
     private final Set<Long> reads = new HashSet<>();
     private final RpcDecoder decoder;
+    private final SocketReads socket;
     private ChannelHandlerContext channel;
     private long lastUsedAt;
     /** Answers that are written and have not gone out: for their client these are still open. */
@@ -40,8 +41,15 @@
     private long messages;
     private long sentAt;
 
+    /** One that is accepted now. */
     ClientConnection(Front front) {
+        this(front, front.clock().now());
+    }
+
+    /** @param notBefore a moment at which it had not come yet */
+    ClientConnection(Front front, long notBefore) {
         this.front = front;
+        this.socket = new SocketReads(front.clock(), new ArrivalBound(front.turns(), front.clock(), notBefore));
         this.decoder = new RpcDecoder(front.limits(), front::piece);
         this.lastUsedAt = front.clock().now();
         this.sentAt = lastUsedAt;
@@ -55,6 +63,11 @@
         return decoder;
     }
 
+    /** The first of its handlers. */
+    SocketReads socketReads() {
+        return socket;
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         channel = ctx;
@@ -97,7 +110,7 @@
             } else if (open.size() + unread >= front.limits().clientQueries) {
                 turnAway(call.id());
             } else {
-                OpenQuery q = front.take(this, call, front.timers().earliestArrival());
+                OpenQuery q = front.take(this, call, socket.earliestArrival());
                 if (q != null) {
                     use();
                     open.put(call.id(), q);
--- a/src/main/java/reedspring/net/Clock.java
+++ b/src/main/java/reedspring/net/Clock.java
@@ -26,7 +26,12 @@
     }
 
     long now() {
-        return startedAt + (steadyNanos.getAsLong() - steadyAt) / NANOS;
+        return at(steadyNanos.getAsLong());
+    }
+
+    /** The same of a moment of the steady clock. */
+    long at(long nanos) {
+        return startedAt + (nanos - steadyAt) / NANOS;
     }
 
     /** A moment that another machine names by the system's clock, on this one's steady clock. */
--- a/src/main/java/reedspring/net/Engines.java
+++ b/src/main/java/reedspring/net/Engines.java
@@ -3,7 +3,6 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -42,7 +41,7 @@
         this.limits = limits;
         this.front = front;
         this.rows = new Rows(limits.pageBytes);
-        this.dialer = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        this.dialer = new Bootstrap().group(loop).channelFactory(FrontSocketChannel::new)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
                 .option(ChannelOption.TCP_NODELAY, true);
     }
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -38,6 +38,8 @@
     private final Limits limits;
     private final Clock clock;
     private final Log log;
+    private final Turns turns;
+    private final Counters counters = new Counters();
     private final StallProbe probe;
     private final Timers timers;
     private final DeadlineMisses misses;
@@ -50,6 +52,7 @@
     private final EventLoop loop;
     private Runnable source = () -> { };
     private Runnable ending = () -> { };
+    private AcceptGuard listener;
     private KeptAnswers kept;
     private long newsAt;
     private final Map<Id.Query, OpenQuery> queries = new LinkedHashMap<>();
@@ -81,6 +84,7 @@
         this.limits = limits;
         this.clock = new Clock();
         this.log = log;
+        this.turns = turns;
         this.probe = new StallProbe(log, limits.stoodStill);
         turns.watchedBy(probe);
         this.timers = new Timers(loop, turns, clock, log, limits, probe);
@@ -101,6 +105,14 @@
         return log;
     }
 
+    Turns turns() {
+        return turns;
+    }
+
+    Counters counters() {
+        return counters;
+    }
+
     StallProbe probe() {
         return probe;
     }
@@ -626,6 +638,14 @@
         if (now >= sumAt) {
             sumAt = now + limits.logEvery * 10L;
             log.sum();
+            tellCounts();
+        }
+    }
+
+    private void tellCounts() {
+        String counts = counters.changes();
+        if (counts != null) {
+            log.once("counts since the start:", counts);
         }
     }
 
@@ -671,7 +691,7 @@
         Stream.concat(newcomers.stream(), clients.stream()).toList().forEach(ClientConnection::there);
         // A turn accepts some connections only, and reads a part of a long query. After a stop of the loop
         // the others still wait in the listener's queue, which ends with it: all of them would be reset.
-        boolean more = moreCame || newcomers.stream().anyMatch(ClientConnection::midway)
+        boolean more = moreCame || listener != null && listener.rests() || newcomers.stream().anyMatch(ClientConnection::midway)
                 || clients.stream().anyMatch(ClientConnection::midway);
         if ((more || !allAnswered()) && gone < limits.leavingLongest * 10L) {
             timers.in(100, () -> leaveLater(since, left));
@@ -702,6 +722,10 @@
         }
     }
 
+    void listensBehind(AcceptGuard guard) {
+        listener = guard;
+    }
+
     /** What has to be closed with the last connections: the listener. */
     void atTheEnd(Runnable what) {
         ending = what;
--- a/src/main/java/reedspring/net/Journal.java
+++ b/src/main/java/reedspring/net/Journal.java
@@ -9,7 +9,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.AbstractNioChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -57,7 +56,7 @@
         this.service = service;
         this.chance = new SplittableRandom(seed);
         this.wait = limits.journalFirstWait;
-        this.dialer = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        this.dialer = new Bootstrap().group(loop).channelFactory(FrontSocketChannel::new)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0);
     }
 
--- /dev/null
+++ b/src/main/java/reedspring/net/SocketReads.java
@@ -0,0 +1,87 @@
+package reedspring.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.nio.AbstractNioChannel;
+
+/**
+ * The first handler of a connection: counts the bytes that come, and can read all that lies in the socket now,
+ * ahead of the selector. One read is no proof that nothing lies behind it: a close, or a cancel, shows only once
+ * a read brings nothing more.
+ */
+final class SocketReads extends ChannelInboundHandlerAdapter {
+    /** Passes of sixteen reads each, for which one look goes on at the most: far more than a socket holds. */
+    private static final int MOST_PASSES = 256;
+    /** What is read within that time of its bound needs no closer look, in tenths of a millisecond. */
+    private static final long CLOSE_ENOUGH = 100;
+
+    private final Clock clock;
+    private final ArrivalBound arrival;
+    private long bytes;
+    private boolean readingAll;
+
+    /** Of a connection on which nobody asks when bytes came. */
+    SocketReads() {
+        this(null, null);
+    }
+
+    SocketReads(Clock clock, ArrivalBound arrival) {
+        this.clock = clock;
+        this.arrival = arrival;
+    }
+
+    /** The bytes that have come so far. */
+    long bytes() {
+        return bytes;
+    }
+
+    /** Of what is read now: when it came at the earliest. In tenths of a millisecond. */
+    long earliestArrival() {
+        return arrival.earliest();
+    }
+
+    /** Reads until nothing more comes, the other side has closed, or for as long as one look may take. */
+    void readAll(Channel socket) {
+        if (readingAll || !(socket.unsafe() instanceof AbstractNioChannel.NioUnsafe reader)) {
+            return;
+        }
+        readingAll = true;
+        try {
+            long before = -1;
+            for (int pass = 0; pass < MOST_PASSES && bytes != before && socket.isActive(); pass++) {
+                before = bytes;
+                reader.read();
+            }
+        } finally {
+            readingAll = false;
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        bytes += ((ByteBuf) message).readableBytes();
+        ctx.fireChannelRead(message);
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (arrival != null && !readingAll) {
+            if (filled(ctx.channel())) {
+                arrival.notEmptied();
+            } else if (clock.now() - arrival.earliest() > CLOSE_ENOUGH) {
+                // After a stop a read that was cut short must not pass for the socket's end.
+                readAll(ctx.channel());
+            }
+        }
+        ctx.fireChannelReadComplete();
+    }
+
+    /** Whether the last read took all that it had room for, so that more may lie there. */
+    private static boolean filled(Channel socket) {
+        RecvByteBufAllocator.Handle reads = socket.unsafe().recvBufAllocHandle();
+        return reads.lastBytesRead() > 0 && reads.lastBytesRead() == reads.attemptedBytesRead();
+    }
+}
--- a/src/main/java/reedspring/net/Startup.java
+++ b/src/main/java/reedspring/net/Startup.java
@@ -10,7 +10,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.util.NetUtil;
 import java.io.IOException;
@@ -238,7 +237,9 @@
     }
 
     static ServerBootstrap server(EventLoopGroup group, Front front, Limits limits) {
-        return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+        AcceptGuard guard = new AcceptGuard(front);
+        front.listensBehind(guard);
+        return new ServerBootstrap().group(group).channelFactory(FrontServerSocketChannel::new).handler(guard)
                 .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 1024)
                 .option(ChannelOption.SO_RCVBUF, limits.socketBytes)
                 .childOption(ChannelOption.SO_SNDBUF, limits.socketBytes)
@@ -250,9 +251,9 @@
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel made) {
-                        ClientConnection client = new ClientConnection(front);
-                        made.pipeline().addLast(new FlushConsolidationHandler(limits.flushes, true),
-                                client.decoder(), client);
+                        ClientConnection client = new ClientConnection(front, guard.earliestArrival());
+                        made.pipeline().addLast(client.socketReads(),
+                                new FlushConsolidationHandler(limits.flushes, true), client.decoder(), client);
                         if (!front.came(client)) {
                             made.close();
                         }
--- a/src/main/java/reedspring/net/Turns.java
+++ b/src/main/java/reedspring/net/Turns.java
@@ -21,6 +21,19 @@
     private final IoHandlerFactory sockets = NioIoHandler.newFactory();
     private final List<Runnable> afterReading = new ArrayList<>();
     private StallProbe probe;
+    private long number;
+    private long pollBegan = System.nanoTime();
+    private long previousPollBegan = pollBegan;
+
+    /** Of this turn; each begins with a poll of all sockets. */
+    long number() {
+        return number;
+    }
+
+    /** When the poll of the turn before this one began, in nanoseconds of the steady clock. */
+    long previousPollBegan() {
+        return previousPollBegan;
+    }
 
     /** On the loop's thread only, like all that it calls. Each is called, in the order in which they came. */
     void afterReading(Runnable what) {
@@ -93,6 +106,9 @@
                 if (probe != null) {
                     probe.turn(mayWait(context));
                 }
+                number++;
+                previousPollBegan = pollBegan;
+                pollBegan = System.nanoTime();
                 int handled = made.run(context);
                 if (probe != null) {
                     probe.read();
--- a/src/test/java/reedspring/HouseTest.java
+++ b/src/test/java/reedspring/HouseTest.java
@@ -9,7 +9,8 @@
 
 /** What may use what: decisions and state know no I/O, and nothing that stands round them. */
 class HouseTest {
-    private static final String[] CORE = {"reedspring.api..", "reedspring.spool", "reedspring.spread"};
+    private static final String[] CORE = {"reedspring.api..", "reedspring.core..", "reedspring.spool",
+        "reedspring.spread"};
     private final JavaClasses classes = new ClassFileImporter()
             .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("reedspring");
 
--- a/src/test/java/reedspring/net/AcceptIT.java
+++ b/src/test/java/reedspring/net/AcceptIT.java
@@ -53,6 +53,24 @@
         assertTrue(shim.get(Fault.FAILED_CALLS) > QUERIES / 4, "failures: " + shim.get(Fault.FAILED_CALLS));
     }
 
+    /** Where accepts fail for a while, the loop does not spin, and the queue is served soon after. */
+    @Example
+    void whereNoAcceptWorksForAWhileTheLoopRests() throws Exception {
+        startWithShim(engine(1));
+        shim.set(Fault.ACCEPT_EVERY, 1);
+        Client waits = client().send(Client.query(1, Client.trace(), PATIENCE, "select"));
+        Thread.sleep(1_000);
+        long failures = shim.get(Fault.FAILED_CALLS);
+        assertTrue(failures > 5 && failures < 300, "accepts tried in a second: " + failures);
+        shim.set(Fault.ACCEPT_EVERY, 0);
+        long began = System.nanoTime();
+        assertEquals(1L, waits.read().get(1));
+        long took = (System.nanoTime() - began) / 1_000_000;
+        assertTrue(took < MOST_MS, "served " + took + " ms after accepts work again");
+        assertTrue(front.log.stream().filter(line -> line.contains("accept failed")).count() <= 10,
+                front.log::toString);
+    }
+
     /** Reads and writes that are interrupted or move a few bytes only lose nothing. */
     @Example
     void interruptedAndShortReadsAndWritesLoseNothing() throws Exception {
--- a/src/test/java/reedspring/net/DeadlineIT.java
+++ b/src/test/java/reedspring/net/DeadlineIT.java
@@ -82,6 +82,18 @@
         }
     }
 
+    /** The server accepts sixteen in a turn. */
+    @Example
+    void onManyNewConnections() throws Exception {
+        startWarm();
+        whileStopped(700, () -> {
+            for (int k = 0; k < 50; k++) {
+                client().send(query(1));
+            }
+        });
+        noneOver(50, "50 new connections");
+    }
+
     @Example
     void onAConnectionThatRested() throws Exception {
         startWarm();
@@ -99,6 +111,24 @@
         }
     }
 
+    @Example
+    void of32InOneRead() throws Exception {
+        startWarm();
+        Client rests = client();
+        rests.send(Client.query(1, Client.trace(), PATIENCE_MS, "select")).read();
+        for (boolean fresh : new boolean[] {true, false}) {
+            whileStopped(700, () -> {
+                Client client = fresh ? client() : rests;
+                List<byte[]> all = new ArrayList<>();
+                for (int id = 2; id <= 33; id++) {
+                    all.add(query(id));
+                }
+                client.send(all.toArray(byte[][]::new));
+            });
+            noneOver(32, "32 in one read, " + (fresh ? "new" : "resting") + " connection");
+        }
+    }
+
     /** What its client sent last is its arrival, not the first piece. */
     @Example
     void ofAQueryThatCameInPieces() throws Exception {
