--- a/src/test/java/reedspring/net/LoopTest.java
+++ b/src/test/java/reedspring/net/LoopTest.java
@@ -41,6 +41,8 @@
     private EventLoop loop;
     private Limits limits;
     private Front front;
+    /** Runs once, on the loop, when the next submission has been decided and before it goes its way. */
+    private volatile Runnable decided = () -> { };
 
     private <T extends AutoCloseable> T open(T what) {
         opened.add(what);
@@ -57,15 +59,111 @@
     }
 
     private void start(int submissions) throws Exception {
+        start(submissions, "repeatable");
+    }
+
+    private void start(int submissions, String effect) throws Exception {
         Turns turns = new Turns();
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, turns);
         opened.add(() -> group.shutdownGracefully(0, 0, TimeUnit.SECONDS));
         loop = group.next();
         Map<String, String> settings = new HashMap<>(SETTINGS);
         settings.put("allowed.sendCap", Integer.toString(submissions));
+        settings.put("classes.0.effect", effect);
         Boot boot = new Boot(settings);
         limits = new Limits(boot, 1024, 192);
-        front = onLoop(() -> new Front(loop, turns, boot, limits, new Log(limits, null), 1));
+        front = onLoop(() -> new Front(loop, turns, boot, limits, new Log(limits, null), 1,
+                made -> heldUp(new Engines(loop, limits, made))));
+    }
+
+    private SubmissionRunner heldUp(SubmissionRunner engines) {
+        return new SubmissionRunner() {
+            @Override
+            public void listed(Event.Reading reading, List<Host> hosts) {
+                engines.listed(reading, hosts);
+            }
+
+            @Override
+            public void send(Id.Engine engine, Submission submission) {
+                Runnable first = decided;
+                decided = () -> { };
+                first.run();
+                engines.send(engine, submission);
+            }
+
+            @Override
+            public void tick(long now) {
+                engines.tick(now);
+            }
+        };
+    }
+
+    private int serving(EngineStandIn engine) throws Exception {
+        onLoop(() -> {
+            front.listed(Reading.REMEMBERED, List.of(listed("e0", engine, Event.Health.UP)));
+            return null;
+        });
+        return ((InetSocketAddress) Startup.server(loop, front, limits).bind("127.0.0.1", 0).sync().channel()
+                .localAddress()).getPort();
+    }
+
+    private static List<?> asked(Client client, int id, int patienceMs) throws IOException {
+        return client.send(Client.query(id, Client.trace(), patienceMs, "select")).read();
+    }
+
+    /** Stops the loop between the next decision and its way out, for as long as {@code meanwhile} takes. */
+    private void whileTheLoopIsHeld(Client asks, byte[] query, Callable<?> meanwhile) throws Exception {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch goOn = new CountDownLatch(1);
+        decided = () -> {
+            held.countDown();
+            uninterrupted(goOn);
+        };
+        asks.send(query);
+        assertTrue(held.await(20, TimeUnit.SECONDS));
+        try {
+            meanwhile.call();
+        } finally {
+            goOn.countDown();
+        }
+    }
+
+    /** A look that brought bytes has not seen what lies behind them. */
+    @Example
+    void aCloseThatLiesBehindOtherBytesIsSeenBeforeAnythingIsSent() throws Exception {
+        EngineStandIn engine = engine();
+        int port = serving(engine);
+        Client goes = open(new Client(port));
+        Client stays = open(new Client(port));
+        asked(goes, 1, 5_000);
+        asked(stays, 1, 5_000);
+        String trace = Client.trace();
+        whileTheLoopIsHeld(goes, Client.query(2, trace, 5_000, "gone"), () -> {
+            goes.send(Client.pack(List.of(0, 3, "heartbeat", List.of(Map.of()))));
+            goes.close();
+            Thread.sleep(250);
+            return null;
+        });
+        asked(stays, 2, 5_000);
+        assertTrue(engine.seen("fetch").stream().noneMatch(c -> c.id().equals(trace)),
+                "begun 250 ms after its client had closed");
+    }
+
+    /** The engine would be told that a millisecond is left, where none is. */
+    @Example
+    void nothingIsSentForAQueryWhoseTimeIsOver() throws Exception {
+        EngineStandIn engine = engine();
+        Client client = open(new Client(serving(engine)));
+        asked(client, 1, 5_000);
+        String trace = Client.trace();
+        whileTheLoopIsHeld(client, Client.query(2, trace, 300, "too late"), () -> {
+            Thread.sleep(600);
+            return null;
+        });
+        assertEquals("Shed", Client.error(client.read()));
+        asked(client, 3, 5_000);
+        assertTrue(engine.seen("fetch").stream().noneMatch(c -> c.id().equals(trace)),
+                "begun 300 ms after its time");
     }
 
     @AfterTry
