One place says what may be done with a query; what a connection's end leaves open is answered

A verdict that is a breach is not carried out, counted and logged with the query's history (QueryHistory), which late and unanswered queries name, too. - A connection that the front ends answers each open query at once, deferred where a retry is safe, else failed. A client that has been served may write slowly as long as it writes; a message that never ends goes only once nothing is owed (it was cut off after 1.25 s). - Nothing is sent past its deadline: never sent, deferred.

--- a/src/main/java/reedspring/Control.java
+++ b/src/main/java/reedspring/Control.java
@@ -18,10 +18,10 @@
 import reedspring.api.Action;
 import reedspring.api.Deployment;
 import reedspring.api.Deployment.Effect;
-import reedspring.api.Deployment.Recognised;
 import reedspring.api.Event;
 import reedspring.api.Event.Outcome;
 import reedspring.api.Id;
+import reedspring.core.policy.RepeatPolicy;
 import reedspring.spread.Spread;
 
 /**
@@ -845,12 +845,11 @@
                     || group.kinds() != null && !group.kinds().contains(engine.kind)) {
                 return false;
             }
-            if (q.ranAt < 0 || group.effect() == Effect.READ_ONLY || group.recognised() == Recognised.ALL) {
+            if (q.ranAt < 0) {
                 return true;
             }
             Engine ran = fleet.get(q.ranAt);
-            return group.recognised() == Recognised.ZONE ? ran.zone.equals(engine.zone)
-                    : ran.cell.equals(engine.cell);
+            return RepeatPolicy.recognisedAt(group, ran.zone, ran.cell, engine.zone, engine.cell);
         }
 
         /** Own needs stay under this front's part of the engine's memory and of the fleet's. By engine alone
@@ -970,8 +969,7 @@
         /** Whether a further submission keeps the rules on effects and on the ration. */
         private boolean mayRepeat(Query q, boolean asTrial) {
             Deployment.ResourceGroup group = house.groups().get(q.group);
-            if (group.effect() == Effect.MUTATING && (asTrial || q.ranAt >= 0)
-                    || now >= departBy(q)) {
+            if (!RepeatPolicy.mayRunAgain(group, asTrial || q.ranAt >= 0) || now >= departBy(q)) {
                 return false;
             }
             Deployment.Ration ration = house.ration();
@@ -990,9 +988,8 @@
 
         /** A repeat counts when it arrives: a late connection or a stop of the loop may come between. */
         private long departBy(Query q) {
-            Deployment.ResourceGroup group = house.groups().get(q.group);
-            return group.effect() == Effect.TOKENED && q.ranAt >= 0
-                    ? q.ranSince + group.recognisedFor() - ARRIVAL : Long.MAX_VALUE;
+            long until = RepeatPolicy.recognisedUntil(house.groups().get(q.group), q.ranAt >= 0, q.ranSince);
+            return until == Long.MAX_VALUE ? until : until - ARRIVAL;
         }
 
         /** Bad plans: what a fresh start would end far sooner than the rest of this run starts afresh. */
@@ -1040,9 +1037,7 @@
 
         /** Whether a client may try the query again. */
         private boolean safe(Query q, boolean ran) {
-            Deployment.ResourceGroup group = house.groups().get(q.group);
-            return !ran || group.effect() == Effect.READ_ONLY
-                    || group.effect() == Effect.TOKENED && group.recognised() == Recognised.ALL;
+            return RepeatPolicy.mayDefer(house.groups().get(q.group), ran);
         }
 
         /** The final answer for a query that has nothing out. */
--- a/src/main/java/reedspring/net/ClientConnection.java
+++ b/src/main/java/reedspring/net/ClientConnection.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderException;
 import java.io.IOException;
@@ -32,13 +31,16 @@
     private boolean ending;
     /** Ended by the front, not by its client. */
     private boolean endedHere;
+    private boolean lost;
     private Timers.Due lingers;
     private long unsentBytes;
     private boolean progress;
     private boolean useful;
     private int ticks;
     private int unfinishedTicks;
+    private int stalledTicks;
     private long messages;
+    private long bytes;
     private long sentAt;
 
     /** One that is accepted now. */
@@ -151,20 +153,23 @@
     }
 
     void readLater(long id, long pauseMs, String why) {
-        reads.remove(id);
-        front.log().line("page not read", why);
-        shed(id, pauseMs);
+        if (reads.remove(id)) {
+            front.log().line("page not read", why);
+            shed(id, pauseMs);
+        }
     }
 
     void readError(long id, String why) {
-        reads.remove(id);
-        error(id, why);
+        if (reads.remove(id)) {
+            error(id, why);
+        }
     }
 
     /** The answer is gone, and its query may be asked once more without harm. */
     void askAnew(long id, String why) {
-        reads.remove(id);
-        answer(RpcWriter.error(channel.alloc(), id, "Shed", "say", why));
+        if (reads.remove(id)) {
+            answer(RpcWriter.error(channel.alloc(), id, "Shed", "say", why));
+        }
     }
 
     void released(long id) {
@@ -175,7 +180,13 @@
     void spoilt(long id, String why) {
         front.log().line("client connection closed, numbers used twice", why);
         error(id, why);
-        shut();
+        reads.remove(id);
+        OpenQuery same = open.remove(id);
+        if (same != null) {
+            // Both go by this number, and so does the one answer that either can have.
+            front.left(same, false);
+        }
+        shut(CloseReason.NUMBER_USED_TWICE);
     }
 
     /** Whether it takes what is sent to it. */
@@ -271,8 +282,7 @@
         // open, and each answer here, however small, takes room.
         if (unread > front.limits().clientUnread && !ending) {
             front.log().line("client connection closed, it does not read", unread + " answers wait");
-            endedHere = true;
-            close();
+            close(CloseReason.NOT_READING);
         }
     }
 
@@ -310,28 +320,38 @@
         unsentBytes = waits;
         if (now - sentAt >= front.limits().clientStall * 10L) {
             front.log().line("client connection closed, it does not read", waits + " bytes wait");
-            endedHere = true;
-            close();
+            close(CloseReason.NOT_READING);
         } else if (idleSince(now - front.limits().clientIdle * 10L)) {
             // A query may lie unread just now.
             if (there() && idleSince(now - front.limits().clientIdle * 10L)) {
-                shut();
+                shut(CloseReason.IDLE);
             }
         } else if (!useful && ++ticks > front.limits().silentTicks) {
             front.log().line("client connection closed, nothing of use came", "");
-            shut();
+            shut(CloseReason.NOTHING_OF_USE);
         } else if (unfinished()) {
             front.log().line("client connection closed, a message does not end", "");
-            shut();
+            shut(CloseReason.UNFINISHED_MESSAGE);
         }
     }
 
-    /** Ticks, not spans: time in which the front itself stood still must not count against a client. */
+    /**
+     * Whether a message has begun that does not end. A client that has been served may write slowly, as long as
+     * it writes; while a query of its own is open, that goes first. Ticks, not spans: time in which the front
+     * itself stood still must not count against a client.
+     */
     private boolean unfinished() {
         boolean waits = decoder.midway() && decoder.messages() == messages && reads();
+        boolean stalls = waits && socket.bytes() == bytes;
         messages = decoder.messages();
+        bytes = socket.bytes();
         unfinishedTicks = waits ? unfinishedTicks + 1 : 0;
-        return unfinishedTicks > front.limits().unfinishedTicks;
+        stalledTicks = stalls ? stalledTicks + 1 : 0;
+        if (busy()) {
+            return false;
+        }
+        return (useful ? stalledTicks : unfinishedTicks) > front.limits().unfinishedTicks
+                || unfinishedTicks > front.limits().slowTicks;
     }
 
     /** At once. What is still unread, or not yet sent, is lost with it. */
@@ -339,19 +359,27 @@
         channel.close();
     }
 
+    private void close(CloseReason why) {
+        endedHere = true;
+        front.counters().add(why);
+        close();
+    }
+
     /**
      * An orderly end: the last answers go out, then the write side is shut, and what crosses that is read to
      * its end and thrown away, for a bounded time. A close over unread bytes would reset the connection and
      * take answers on their way with it; and what is read after the shutdown can't be answered any more, so
      * that it must not be sent on. Its client sees the end and asks again elsewhere.
      */
-    void shut() {
+    void shut(CloseReason why) {
         if (ending) {
             return;
         }
         ending = true;
         endedHere = true;
+        front.counters().add(why);
         decoder.hearNoMore();
+        answerWhatIsOpen();
         abandon();
         front.lingers(this);
         unsentBytes = Long.MAX_VALUE;
@@ -384,6 +412,12 @@
         });
     }
 
+    /** What was taken is owed an answer, whatever its connection ends for. */
+    private void answerWhatIsOpen() {
+        List.copyOf(reads).forEach(this::turnAway);
+        List.copyOf(open.values()).forEach(front::giveUp);
+    }
+
     /** Nothing more is owed here. */
     private void abandon() {
         front.gone(this);
@@ -398,15 +432,15 @@
      * and the close of its connection lie there together, and the selector hands over one look's worth.
      */
     boolean there() {
-        Channel socket = channel.channel();
-        if (!ending && socket.isActive() && socket.unsafe() instanceof AbstractNioChannel.NioUnsafe reader) {
-            reader.read();
+        Channel connection = channel.channel();
+        if (!ending) {
+            socket.readAll(connection);
         }
-        if (!socket.isOpen()) {
+        if (!connection.isOpen()) {
             // Netty tells so with a task of its own, after this.
             abandon();
         }
-        return socket.isOpen() && !ending;
+        return connection.isOpen() && !ending;
     }
 
     boolean busy() {
@@ -415,6 +449,9 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        if (!endedHere) {
+            front.counters().add(lost ? CloseReason.LOST : CloseReason.BY_CLIENT);
+        }
         ending = true;
         abandon();
         front.lingersNoMore(this);
@@ -435,9 +472,11 @@
             front.log().fault("client connection closed, fault", cause);
         }
         if (cause instanceof IOException) {
+            lost = true;
             close();
         } else {
-            shut();
+            shut(cause instanceof DecoderException && cause.getCause() == null ? CloseReason.BROKEN_FRAMING
+                    : CloseReason.FAULT);
         }
     }
 }
--- a/src/main/java/reedspring/net/DeadlineMisses.java
+++ b/src/main/java/reedspring/net/DeadlineMisses.java
@@ -79,10 +79,10 @@
             return;
         }
         log.remark(event, String.format(Locale.ROOT, "%s: %s by %d ms; of %d ms: sent %s, heard %s, "
-                        + "decided %s, ended %d; %d submissions, loop behind %d ms", event, q.trace,
+                        + "decided %s, ended %d; %d submissions, loop behind %d ms; %s", event, q.trace,
                 (now - q.leavesAt) / 10, (q.leavesAt - q.takenAt) / 10, since(q, q.firstSentAt),
                 since(q, q.heardAt), since(q, q.decidedAt), (now - q.takenAt) / 10, q.submissions,
-                q.behind / 10));
+                q.behind / 10, q.history.text()));
     }
 
     private static String since(OpenQuery q, long at) {
--- a/src/main/java/reedspring/net/EngineConnection.java
+++ b/src/main/java/reedspring/net/EngineConnection.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
@@ -47,8 +46,8 @@
     private final Set<String> running = new LinkedHashSet<>();
     private final AnswerDecoder decoder;
     private final Rows rows;
+    private final SocketReads reads = new SocketReads();
     private Channel channel;
-    private long bytes;
     private long partBytes;
     private int partTicks;
     private boolean up;
@@ -76,8 +75,8 @@
         ChannelFuture dialled = dialer.clone().handler(new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel made) {
-                made.pipeline().addLast(new FlushConsolidationHandler(limits.flushes, true),
-                        new RedisEncoder(), new Counter(), new RedisDecoder(), decoder, self);
+                made.pipeline().addLast(reads, new FlushConsolidationHandler(limits.flushes, true),
+                        new RedisEncoder(), new RedisDecoder(), decoder, self);
             }
         }).connect(address);
         channel = dialled.channel();
@@ -99,15 +98,6 @@
         });
     }
 
-    /** Counts what comes, so that an answer which has come in part shows. */
-    private final class Counter extends ChannelInboundHandlerAdapter {
-        @Override
-        public void channelRead(ChannelHandlerContext ctx, Object message) {
-            bytes += ((ByteBuf) message).readableBytes();
-            ctx.fireChannelRead(message);
-        }
-    }
-
     int load() {
         return open.size();
     }
@@ -167,9 +157,7 @@
         if (open.size() > 1 || !rested) {
             return true;
         }
-        if (channel.isActive() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe reader) {
-            reader.read();
-        }
+        reads.readAll(channel);
         retired |= !channel.isOpen();
         return channel.isOpen();
     }
@@ -183,10 +171,6 @@
     /** Writes it out at once: what waits for others could stand here while the process is stopped. */
     void depart(Submission s) {
         OpenQuery q = s.query;
-        if (q.answered) {
-            front.closed(s, Outcome.NOT_SENT);
-            return;
-        }
         lastUsedAt = front.clock().now();
         rested = true;
         s.sentAt = lastUsedAt;
@@ -266,7 +250,7 @@
      * for its rest, so nothing that is out here can end any more.
      */
     private boolean stopsShort() {
-        boolean same = bytes != decoder.bytes() && partBytes == decoder.bytes();
+        boolean same = reads.bytes() != decoder.bytes() && partBytes == decoder.bytes();
         partBytes = decoder.bytes();
         partTicks = same ? partTicks + 1 : 0;
         return partTicks > limits.partTicks;
@@ -373,7 +357,7 @@
         s.missing = s.sheets;
         front.seenEnd(s);
         s.work = Math.round(Math.max(0, figure(answer, "toil", 0)) * 10);
-        if (keeps && !s.query.answered) {
+        if (keeps && !s.query.answered()) {
             s.pages = new ByteBuf[1];
             s.came = new BitSet();
             keep(s, 0, answer.body());
@@ -385,7 +369,7 @@
         if (s.over) {
             return;
         }
-        if (s.query.answered) {
+        if (s.query.answered()) {
             // Nobody waits for the other pages; the work is done all the same.
             front.closed(s, Outcome.FINISHED);
             return;
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -23,6 +23,11 @@
 import reedspring.api.Load;
 import reedspring.boot.Boot;
 import reedspring.boot.Times;
+import reedspring.core.policy.QueryLifecycle;
+import reedspring.core.policy.QueryLifecycle.Answer;
+import reedspring.core.policy.QueryLifecycle.SendFacts;
+import reedspring.core.policy.QueryLifecycle.Verdict;
+import reedspring.net.QueryHistory.Step;
 
 /**
  * The front's loop: hands each event to the decisions, one at a time, and does what they ask for. It owns the
@@ -208,8 +213,9 @@
             log.line("client connections at their limit", Integer.toString(limits.clientConnections));
             ClientConnection idle = leastClaim();
             if (idle != null) {
-                idle.shut();
+                idle.shut(CloseReason.NO_ROOM);
             } else if (newcomers.size() + clients.size() >= limits.clientConnections) {
+                counters.add(CloseReason.NO_ROOM);
                 return false;
             }
         }
@@ -319,9 +325,11 @@
             return null;
         }
         OpenQuery q = new OpenQuery(new Id.Query(++ids), call.id(), client, trace, call.method(),
-                call.body().retain(), Math.min(stayUntil,
-                        arrivedAt + Times.nearest(patience)));
+                call.body().retain(), Math.min(stayUntil, arrivedAt + Times.nearest(patience)),
+                new QueryLifecycle(boot.deployment().groups().get(group.index()),
+                        boot.deployment().allowed().submissions()));
         q.takenAt = arrivedAt;
+        q.history.add(Step.TAKEN, null, arrivedAt);
         q.mark = fields.get("nonce");
         q.paged = kept != null && "1".equals(fields.get("pages"));
         if (q.paged) {
@@ -357,26 +365,91 @@
 
     /** The client has gone or has revoked it, or the front ended its connection. */
     void left(OpenQuery q, boolean endedHere) {
-        if (!q.answered) {
+        if (!q.answered()) {
             misses.unanswered(q, endedHere);
-            q.answered = true;
+            q.lifecycle.clientLeft();
+            q.history.add(Step.CLIENT_LEFT, null, clock.now());
+            counters.add(Step.CLIENT_LEFT);
             on(new Event.Left(q.id));
             forget(q);
         }
     }
 
+    /** Its connection has to end, and nothing may end unanswered: it gets the answer that it can have now. */
+    void giveUp(OpenQuery q) {
+        if (q.answered()) {
+            return;
+        }
+        if (q.lifecycle.answerIfGivenUp() == Answer.DEFERRED) {
+            defer(q, limits.comeBack * 10L);
+        } else {
+            fail(q, "the connection had to end");
+        }
+        on(new Event.Left(q.id));
+        forget(q);
+    }
+
     private void overdue(OpenQuery q) {
-        if (!q.answered) {
+        if (!q.answered()) {
             log.line("query overdue, killed by the front", q.trace);
-            q.answered = true;
-            q.client.kill(q, "no answer in time");
+            fail(q, "no answer in time");
             on(new Event.Left(q.id));
             forget(q);
         }
     }
 
+    // ---- final answers
+
+    private void defer(OpenQuery q, long comeBack) {
+        Verdict verdict = q.lifecycle.answer(Answer.DEFERRED);
+        if (verdict == Verdict.UNSAFE_DEFERRAL) {
+            refused(verdict, q);
+            fail(q, "failed");
+        } else if (answers(q, verdict, Step.DEFERRED)) {
+            q.client.defer(q, comeBack);
+        }
+    }
+
+    private void fail(OpenQuery q, String why) {
+        if (answers(q, q.lifecycle.answer(Answer.FAILED), Step.FAILED)) {
+            q.client.kill(q, why);
+        }
+    }
+
+    private void serve(OpenQuery q, Submission s) {
+        if (!answers(q, q.lifecycle.answer(Answer.SERVED), Step.SERVED)) {
+            return;
+        }
+        if (s.handle != null) {
+            q.client.firstPage(q, s);
+        } else if (s.missing == 0) {
+            q.client.rows(q, List.of(s.pages));
+        } else {
+            q.client.kill(q, "no room for the result");
+        }
+    }
+
+    private boolean answers(OpenQuery q, Verdict verdict, Step how) {
+        if (!verdict.allowed()) {
+            refused(verdict, q);
+            return false;
+        }
+        q.history.add(how, null, clock.now());
+        counters.add(how);
+        return true;
+    }
+
+    /** Something was not done since a rule forbids it; a breach shows a fault of the program's own. */
+    private void refused(Verdict verdict, OpenQuery q) {
+        counters.add(verdict);
+        if (verdict.breach()) {
+            log.remark("rule would be broken", "rule would be broken, not done: " + verdict + " " + q.trace
+                    + ": " + q.history.text());
+        }
+    }
+
     private void forget(OpenQuery q) {
-        if (q.answered && q.out == null && queries.remove(q.id) != null) {
+        if (q.answered() && q.out == null && queries.remove(q.id) != null) {
             timers.cancel(q.end);
             traces.remove(q.trace, q);
             hold(-q.statement.readableBytes());
@@ -461,13 +534,13 @@
         } else if (action instanceof Action.Defer defer) {
             OpenQuery q = unanswered(defer.query());
             if (q != null) {
-                q.client.defer(q, defer.comeBack());
+                defer(q, defer.comeBack());
                 forget(q);
             }
         } else if (action instanceof Action.Kill kill) {
             OpenQuery q = unanswered(kill.query());
             if (q != null) {
-                q.client.kill(q, "failed");
+                fail(q, "failed");
                 forget(q);
             }
         } else if (action instanceof Action.WakeMe wake) {
@@ -480,16 +553,13 @@
 
     private OpenQuery unanswered(Id.Query id) {
         OpenQuery q = queries.get(id);
-        if (q == null || q.answered) {
-            return null;
-        }
-        q.answered = true;
-        return q;
+        return q == null || q.answered() ? null : q;
     }
 
     private void submit(Action.Submit submit) {
         OpenQuery q = queries.get(submit.query());
         if (q == null || q.out != null) {
+            counters.add(Verdict.ATTEMPT_OUT);
             log.line("submission for a query that is over", Long.toString(submit.query().value()));
             return;
         }
@@ -497,16 +567,24 @@
         long timeoutAt = submit.timeout() > 0 ? Math.min(q.leavesAt, now + submit.timeout()) : q.leavesAt;
         Submission s = new Submission(q, now, timeoutAt, submit.departBy());
         q.out = s;
-        if (q.answered) {
-            // Its client left after the event that is being decided; without an end its threads would count
-            // as out for good.
+        Verdict verdict = q.lifecycle.startAttempt();
+        if (!verdict.allowed()) {
+            // Where it is over, its client left after the event that is being decided; without an end its
+            // threads would count as out for good.
+            refused(verdict, q);
             closed(s, Outcome.NOT_SENT);
             return;
         }
-        s.end = timers.at(timeoutAt, () -> closed(s, Outcome.TIMED_OUT));
+        q.history.add(Step.ATTEMPT_DECIDED, null, now);
+        s.end = timers.at(timeoutAt, () -> timedOut(s));
         engines.send(submit.engine(), s);
     }
 
+    /** What never left the front can't have run. */
+    private void timedOut(Submission s) {
+        closed(s, s.written ? Outcome.TIMED_OUT : Outcome.NOT_SENT);
+    }
+
     /** Its connection is up. It leaves when this turn of the loop has read what there is. */
     void departs(Submission s) {
         departures.add(s);
@@ -532,30 +610,47 @@
 
     private void depart(Submission s) {
         refresh();
-        if (!s.over && s.query.client != null) {
-            // A client that has gone, or has taken its query back, may have done so while the loop stood
-            // still: its close lies in the socket behind the query, where the selector has yet to look.
-            s.query.client.there();
-        }
+        // A client that has gone, or has taken its query back, may have done so while the loop stood still:
+        // its close lies in the socket behind the query, where the selector has yet to look.
+        boolean clientThere = s.query.client == null || s.over || s.query.client.there();
         if (s.over || s.connection == null) {
             return;
         }
-        if (clock.now() > s.departBy) {
-            log.line("submission withheld, its repeat would no longer be recognised", s.query.trace);
-            closed(s, Outcome.WITHHELD);
-        } else if (!s.connection.there()) {
+        if (!s.connection.there()) {
             // Closed by its engine while it rested. Nothing of this was written, so it takes another.
             Id.Engine engine = new Id.Engine(s.connection.engine());
             s.connection.release(s);
             engines.send(engine, s);
-        } else if (!s.connection.departable()) {
-            log.line("submission withheld, engine no longer up", s.connection.engine());
-            closed(s, Outcome.WITHHELD);
-        } else {
+            return;
+        }
+        // The looks above may have taken time, too.
+        Verdict verdict = s.query.lifecycle.send(new SendFacts(clock.now(), s.timeoutAt, s.departBy,
+                clientThere, s.connection.departable()));
+        if (verdict.allowed()) {
+            s.query.history.add(Step.SENT, null, clock.now());
             s.connection.depart(s);
+        } else {
+            withhold(s, verdict);
         }
     }
 
+    private void withhold(Submission s, Verdict verdict) {
+        refused(verdict, s.query);
+        s.query.history.add(Step.WITHHELD, verdict, clock.now());
+        switch (verdict) {
+            case REPEAT_FORGOTTEN -> log.line("submission withheld, its repeat would no longer be recognised",
+                    s.query.trace);
+            case ENGINE_NOT_READY -> log.line("submission withheld, engine no longer up",
+                    s.connection.engine());
+            case DEADLINE_PASSED -> log.line("submission withheld, its client waits no longer", s.query.trace);
+            default -> {
+                // Its client has gone, as many do.
+            }
+        }
+        closed(s, verdict == Verdict.ENGINE_NOT_READY || verdict == Verdict.REPEAT_FORGOTTEN
+                ? Outcome.WITHHELD : Outcome.NOT_SENT);
+    }
+
     /** A submission has ended, in whatever way; what comes of it later is not heard any more. */
     void closed(Submission s, Outcome seen) {
         if (s.over) {
@@ -572,17 +667,13 @@
         if (kept != null) {
             kept.over(s);
         }
-        if (outcome == Outcome.FINISHED && !q.answered) {
-            q.answered = true;
-            if (s.handle != null) {
-                q.client.firstPage(q, s);
-            } else if (s.missing == 0) {
-                q.client.rows(q, List.of(s.pages));
-            } else {
-                q.client.kill(q, "no room for the result");
-            }
+        q.lifecycle.attemptEnded(outcome.neverRan());
+        q.history.add(Step.ATTEMPT_ENDED, outcome, clock.now());
+        counters.add(outcome);
+        if (outcome == Outcome.FINISHED && !q.answered()) {
+            serve(q, s);
         }
-        boolean over = q.answered;
+        boolean over = q.answered();
         hold(-s.bytes);
         s.release();
         if (s.endedAt == 0) {
@@ -672,7 +763,7 @@
                 Submission s = q.out;
                 timers.cancel(s.end);
                 s.timeoutAt = Math.min(s.timeoutAt, stayUntil);
-                s.end = timers.at(s.timeoutAt, () -> closed(s, Outcome.TIMED_OUT));
+                s.end = timers.at(s.timeoutAt, () -> timedOut(s));
             }
         }
         leaveLater(now, left);
@@ -698,12 +789,13 @@
             return;
         }
         ending.run();
-        Stream.concat(newcomers.stream(), clients.stream()).toList().forEach(ClientConnection::shut);
+        Stream.concat(newcomers.stream(), clients.stream()).toList()
+                .forEach(client -> client.shut(CloseReason.FRONT_ENDS));
         lingerOn(clock.now(), since + (limits.leavingLongest + limits.leavingFlush) * 10L, left);
     }
 
     private boolean allAnswered() {
-        return queries.values().stream().allMatch(q -> q.answered);
+        return queries.values().stream().allMatch(OpenQuery::answered);
     }
 
     /**
@@ -716,6 +808,7 @@
                 && lingering.stream().noneMatch(ClientConnection::unsent)) {
             log.once("left", "");
             log.sum();
+            tellCounts();
             left.run();
         } else {
             timers.in(20, () -> lingerOn(since, until, left));
--- a/src/main/java/reedspring/net/KeptAnswers.java
+++ b/src/main/java/reedspring/net/KeptAnswers.java
@@ -145,7 +145,7 @@
     void release(ClientConnection client, long messageId, Map<String, String> fields) {
         Handle handle = handle(fields);
         if (handle == null) {
-            client.readError(messageId, UNKNOWN);
+            client.error(messageId, UNKNOWN);
             return;
         }
         tell(new Word.Released(handle));
--- a/src/main/java/reedspring/net/Limits.java
+++ b/src/main/java/reedspring/net/Limits.java
@@ -31,6 +31,8 @@
     /** Looks after which a client that has sent nothing yet goes before the others if there is no room. */
     final int chanceTicks = 2;
     final int unfinishedTicks = 5;
+    /** The same for one that has been served and goes on writing, however slowly: ten seconds. */
+    final int slowTicks = 40;
     /** After which a client that has taken nothing of what waits for it is cut off. */
     final int clientStall = 10_000;
     final int messageBytes = 1 << 18;
--- a/src/main/java/reedspring/net/OpenQuery.java
+++ b/src/main/java/reedspring/net/OpenQuery.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import reedspring.api.Event;
 import reedspring.api.Id;
+import reedspring.core.policy.QueryLifecycle;
 
 /** A query from its arrival until it is answered and nothing of it is out. */
 final class OpenQuery {
@@ -23,7 +24,9 @@
     int priority = -1;
     int submissions;
     Submission out;
-    boolean answered;
+    /** What may be done with it now. */
+    final QueryLifecycle lifecycle;
+    final QueryHistory history = new QueryHistory();
     Timers.Due end;
     /** For the log, where it is late: 0 where it did not come to that. */
     long takenAt;
@@ -34,7 +37,7 @@
     long behind;
 
     OpenQuery(Id.Query id, long messageId, ClientConnection client, String trace, String group,
-              ByteBuf statement, long leavesAt) {
+              ByteBuf statement, long leavesAt, QueryLifecycle lifecycle) {
         this.id = id;
         this.messageId = messageId;
         this.client = client;
@@ -42,5 +45,11 @@
         this.group = group;
         this.statement = statement;
         this.leavesAt = leavesAt;
+        this.lifecycle = lifecycle;
+    }
+
+    /** Whether it has its final answer, or its client has gone. */
+    boolean answered() {
+        return lifecycle.over();
     }
 }
--- a/src/test/java/reedspring/net/CrossingsIT.java
+++ b/src/test/java/reedspring/net/CrossingsIT.java
@@ -1,5 +1,7 @@
 package reedspring.net;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static reedspring.rig.JournalStandIn.event;
 import static reedspring.rig.JournalStandIn.host;
@@ -7,6 +9,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -55,6 +58,74 @@
         assertTrue(client.ended());
     }
 
+    /** One that may have run and must not run twice is not called harmless to repeat. */
+    @Example
+    void aChangeOnAConnectionWithBrokenFramingIsAnsweredAsFailed() throws Exception {
+        List<EngineStandIn.Command> held = new CopyOnWriteArrayList<>();
+        EngineStandIn engine = holding(held);
+        journal = open(new JournalStandIn());
+        front = open(new Program(Program.config(Program.freeAddress(), journal.address(),
+                event(1, true, host("e0", engine.address(), "ready")))
+                .replace("\"effect\":\"repeatable\"", "\"effect\":\"once\""))).ready();
+        Client client = client().send(Client.query(1, Client.trace(), PATIENCE, "insert"));
+        await("it at the engine", () -> held.size() == 1);
+        client.send(NO_MESSAGEPACK);
+        assertEquals("Fault", Client.error(client.read()));
+        assertTrue(client.ended());
+    }
+
+    /** A number that is used twice spoils that number; the others on the connection are answered. */
+    @Example
+    void aNumberUsedTwiceCostsNoOtherQueryItsAnswer() throws Exception {
+        List<EngineStandIn.Command> held = new CopyOnWriteArrayList<>();
+        start(holding(held));
+        Client client = client().send(Client.query(1, Client.trace(), PATIENCE, "other"),
+                Client.query(2, Client.trace(), PATIENCE, "first"));
+        await("both at the engine", () -> held.size() == 2);
+        client.send(Client.query(2, Client.trace(), PATIENCE, "second"));
+        Map<Long, List<?>> answers = client.read(2);
+        assertEquals("Shed", Client.error(answers.get(1L)));
+        assertEquals("Fault", Client.error(answers.get(2L)));
+        assertTrue(client.ended());
+    }
+
+    /** It was cut off after 1.25 s, with the query that was being run for it. */
+    @Example
+    void aClientThatWritesSlowlyKeepsItsConnectionAndItsQueries() throws Exception {
+        List<EngineStandIn.Command> held = new CopyOnWriteArrayList<>();
+        EngineStandIn engine = holding(held);
+        start(engine);
+        String trace = Client.trace();
+        Client client = client().send(Client.query(1, trace, PATIENCE, "select"));
+        await("it at the engine", () -> held.size() == 1);
+        byte[] next = Client.query(2, Client.trace(), PATIENCE, "x".repeat(400));
+        int pieces = 25;
+        for (int k = 0; k < pieces; k++) {
+            client.send(Arrays.copyOfRange(next, k * next.length / pieces, (k + 1) * next.length / pieces));
+            Thread.sleep(100);
+        }
+        await("the second at the engine", () -> held.size() == 2);
+        EngineStandIn.pages(1).accept(held.get(0));
+        assertEquals(EngineStandIn.page(trace, 0), Client.rows(client.read()));
+        EngineStandIn.pages(1).accept(held.get(1));
+        assertNotEquals(null, Client.rows(client.read()));
+    }
+
+    /** A message that stays half sent ends its connection, but not before what is owed there is answered. */
+    @Example
+    void aMessageThatDoesNotEndCostsNoQueryItsAnswer() throws Exception {
+        List<EngineStandIn.Command> held = new CopyOnWriteArrayList<>();
+        start(holding(held));
+        String trace = Client.trace();
+        Client client = client().send(Client.query(1, trace, PATIENCE, "select"));
+        await("it at the engine", () -> held.size() == 1);
+        client.send(Arrays.copyOf(Client.query(2, Client.trace(), PATIENCE, "select"), 30));
+        Thread.sleep(2_500);
+        EngineStandIn.pages(1).accept(held.get(0));
+        assertEquals(EngineStandIn.page(trace, 0), Client.rows(client.read()));
+        assertTrue(client.ended(), "what never ends is given up");
+    }
+
     // ---- discovery
 
     /** Each call was given up after 1.8 s of silence, so a service that takes longer was never heard. */
@@ -73,4 +144,20 @@
         long tookMs = (System.nanoTime() - began) / 1_000_000;
         assertTrue(tookMs < 7_000, "it counts as told after 7 s: " + tookMs);
     }
+
+    // ---- start and submissions
+
+    /** A change that never left the front was answered as if it might have run. */
+    @Example
+    void aChangeThatNeverLeftIsSafeToTryAgain() throws Exception {
+        EngineStandIn late = open(EngineStandIn.late(EngineStandIn.pages(1)));
+        journal = open(new JournalStandIn());
+        front = open(new Program(Program.config(Program.freeAddress(), journal.address(),
+                event(1, true, host("e0", late.address(), "ready")))
+                .replace("\"effect\":\"repeatable\"", "\"effect\":\"once\"")
+                .replace("\"connectTimeoutMs\":250.0", "\"connectTimeoutMs\":4000.0"))).ready();
+        List<?> answer = client().send(Client.query(1, Client.trace(), 800, "insert")).read();
+        assertEquals("Shed", Client.error(answer));
+        assertTrue(late.seen("fetch").isEmpty());
+    }
 }
--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -40,8 +40,10 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
+import reedspring.api.Deployment;
 import reedspring.api.Id;
 import reedspring.boot.Boot;
+import reedspring.core.policy.QueryLifecycle;
 import reedspring.rig.Client;
 import reedspring.rig.EngineStandIn;
 import reedspring.rig.JournalStandIn;
@@ -204,7 +206,9 @@
         String trace = Client.trace();
         Client same = client().send(Client.query(1, trace, 1_000, "select"),
                 Client.query(2, trace, 1_000, "again"));
-        assertEquals("Fault", Client.error(same.read()));
+        Map<Long, List<?>> both = same.read(2);
+        assertEquals("Fault", Client.error(both.get(2L)));
+        assertEquals("Shed", Client.error(both.get(1L)), "what came first is owed its answer");
         assertTrue(same.ended());
         assertTrue(silent.seen("fetch").size() <= 3, "what came first under its number was in order");
         assertEquals("Shed", Client.error(good.read()));
@@ -365,7 +369,9 @@
         loop.submit(() -> {
             Front made = new Front(loop, turns, boot, limits, new Log(limits, null), 1);
             OpenQuery q = new OpenQuery(new Id.Query(1), 1, null, Client.trace(), "lookup",
-                    Unpooled.EMPTY_BUFFER, made.clock().now() + 50_000);
+                    Unpooled.EMPTY_BUFFER, made.clock().now() + 50_000, new QueryLifecycle(
+                            new Deployment.ResourceGroup(10_000, 2, 1, 0, 1, Deployment.Effect.READ_ONLY,
+                                    Deployment.Recognised.ALL, 0, false, null, null), 3));
             Submission s = new Submission(q, made.clock().now(), q.leavesAt, Long.MAX_VALUE);
             EngineConnection connection = new EngineConnection(made, limits, new Rows(limits.pageBytes),
                     "e0", () -> true, ended -> { });
--- a/src/test/java/reedspring/net/LoopTest.java
+++ b/src/test/java/reedspring/net/LoopTest.java
@@ -149,6 +149,23 @@
                 "begun 250 ms after its client had closed");
     }
 
+    /** The same of an engine that closes a resting connection behind its last bytes. */
+    @Example
+    void anEnginesCloseThatLiesBehindOtherBytesIsSeenBeforeAnythingIsSent() throws Exception {
+        start(3, "once");
+        EngineStandIn engine = engine();
+        Client client = open(new Client(serving(engine)));
+        asked(client, 1, 5_000);
+        whileTheLoopIsHeld(client, Client.query(2, Client.trace(), 5_000, "insert"), () -> {
+            java.net.Socket resting = engine.accepted.get(0);
+            resting.getOutputStream().write("*4\r\n$5\r\nfront".getBytes());
+            resting.close();
+            Thread.sleep(100);
+            return null;
+        });
+        assertNotEquals(null, Client.rows(client.read()), "a mutating query with an unclear end");
+    }
+
     /** The engine would be told that a millisecond is left, where none is. */
     @Example
     void nothingIsSentForAQueryWhoseTimeIsOver() throws Exception {
