Discovery that answers late is heard, an event that can't be read hides nothing, stepped clocks make no engine warm

- EngineStartTime: a start that discovery names is read by the wall clock as of the front's start and as of now; the later of the two that are not in the future counts, and a new engine that is said to have started long before the stream last spoke counts as started then.

--- a/src/main/java/reedspring/net/Clock.java
+++ b/src/main/java/reedspring/net/Clock.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.function.LongSupplier;
+import reedspring.core.policy.EngineStartTime;
 
 /**
  * Unix time in tenths of a millisecond as it stood at the start, carried on by the steady clock: a jump of
@@ -34,9 +35,9 @@
         return startedAt + (nanos - steadyAt) / NANOS;
     }
 
-    /** A moment that another machine names by the system's clock, on this one's steady clock. */
+    /** When an engine started whose start another machine names by the system's clock; 0 for long ago. */
     long ofUnixMs(long ms) {
-        return ms <= 0 ? 0 : now() + ms * 10 - unix.getAsLong();
+        return ms <= 0 ? 0 : EngineStartTime.estimate(ms * 10, now(), unix.getAsLong());
     }
 
     private static long systemTenths() {
--- a/src/main/java/reedspring/net/Journal.java
+++ b/src/main/java/reedspring/net/Journal.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -21,6 +20,8 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,25 +31,31 @@
 import reedspring.api.Event.Reading;
 import reedspring.api.Id;
 import reedspring.boot.BootException;
+import reedspring.core.policy.EngineStartTime;
 
 /**
  * Follows the list of engines: what the configuration knows first, then the journal service's events by their
  * numbers. Whatever happens to the stream, the list held so far stays.
  */
 final class Journal {
+    /** That are heard at a time, each with a descriptor of its own. */
+    private static final int MOST_CALLS = 3;
+    private static final long NEVER_HEARD = 0;
+
     private final Front front;
     private final Limits limits;
     private InetSocketAddress service;
     private final Bootstrap dialer;
     private final SplittableRandom chance;
     private Map<Id.Engine, Host> held = new LinkedHashMap<>();
+    /** Those that are heard, the newest last. There are several only while none of them says anything. */
+    private final Deque<Call> calls = new ArrayDeque<>();
     private long position;
     private long wait;
-    private Channel channel;
-    private Channel calledAgain;
-    private long heardAt;
+    private Timers.Due nextCall;
     private boolean gapSeen;
-    private boolean reading;
+    /** Of the last event that could not be read. */
+    private String malformedId = "";
 
     Journal(EventLoop loop, Front front, Limits limits, InetSocketAddress service, long seed) {
         this.front = front;
@@ -60,12 +67,9 @@
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0);
     }
 
-    /** Reads what lies in the socket now, ahead of the selector's turn. Not while that is being done. */
+    /** Reads all that lies in the sockets now, ahead of the selector's turn. Not while that is being done. */
     void readNow() {
-        if (!reading && channel != null && channel.isActive()
-                && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
-            socket.read();
-        }
+        List.copyOf(calls).forEach(Call::readNow);
     }
 
     /** Hands over the list that the configuration holds. */
@@ -74,7 +78,7 @@
             Map<?, ?> event = Json.map(entry, "known.entries");
             if (event.get("hosts") != null) {
                 Map<?, ?> list = Json.map(event.get("hosts"), "known.entries.hosts");
-                take(whole(list), hosts(list));
+                take(whole(list), hosts(list, NEVER_HEARD));
             }
         }
         position = Json.whole(known, "pos", 0);
@@ -83,82 +87,43 @@
         }
     }
 
-    /** Another address for the same numbering. What the old stream still tells is not heard. */
+    /** Another address for the same numbering. What the old calls still tell is not heard. */
     void move(InetSocketAddress to) {
         service = to;
         wait = limits.journalFirstWait;
+        List<Call> old = List.copyOf(calls);
+        calls.clear();
+        old.forEach(Call::close);
         follow();
     }
 
-    private void follow(Channel instead) {
-        // A call that was begun meanwhile, after a move, stands.
-        if (channel == instead) {
-            follow();
-        }
-    }
-
+    /**
+     * Calls the service. Calls that were made before and have said nothing are heard on until one of them
+     * speaks: a service that takes longer to answer than this front waits would else be given up each time.
+     */
     void follow() {
-        Channel before = channel;
-        heardAt = front.clock().now();
-        ChannelFuture dialled = dialer.clone().handler(new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel made) {
-                made.pipeline().addLast(new HttpClientCodec(), new Stream());
-            }
-        }).connect(service);
-        channel = dialled.channel();
-        Channel called = channel;
-        called.closeFuture().addListener(closed -> again(called));
-        // Among the front's own alarms, as for engines: a stop of this process is no silence of the service.
-        Timers.Due tooLate = front.timers().in(limits.journalConnect * 10L, () -> Front.close(called));
-        front.dialled(dialled, done -> {
-            front.timers().cancel(tooLate);
-            if (done.isSuccess()) {
-                DefaultFullHttpRequest get =
-                        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/journal");
-                get.headers().set(HttpHeaderNames.HOST,
-                        service.getAddress().getHostAddress() + ":" + service.getPort())
-                        .set(HttpHeaderNames.ACCEPT, "text/event-stream")
-                        .set("Last-Event-ID", Long.toString(position));
-                called.writeAndFlush(get);
-            } else {
-                front.log().line("journal unreachable", String.valueOf(done.cause().getMessage()));
-                again(called);
-            }
-        });
-        watch(called);
-        if (before != null) {
-            Front.close(before);
+        front.timers().cancel(nextCall);
+        nextCall = null;
+        if (calls.size() >= MOST_CALLS) {
+            calls.removeFirst().close();
         }
+        Call call = new Call();
+        calls.addLast(call);
+        call.dial();
     }
 
-    /** A stream that says nothing, not even a comment, is cut off. */
-    private void watch(Channel watched) {
-        front.timers().at(heardAt + limits.journalSilence * 10L, () -> {
-            if (!watched.isOpen() || watched != channel) {
-                return;
-            }
-            if (front.clock().now() - heardAt >= limits.journalSilence * 10L) {
-                front.log().line("journal silent, called again", "");
-                watched.close();
-            } else {
-                watch(watched);
-            }
-        });
-    }
-
-    private void again(Channel ended) {
-        if (ended != channel || ended == calledAgain) {
-            return;
+    /** Calls again in a moment. Half of it is chance, so that fronts don't come back together. */
+    private void followLater() {
+        if (nextCall == null) {
+            long tenths = wait * 5 + chance.nextLong(wait * 5 + 1);
+            wait = Math.min(limits.journalLongestWait, wait * 2);
+            nextCall = front.timers().in(tenths, this::follow);
         }
-        calledAgain = ended;
-        // Half of the wait is chance, so that fronts which lost it together don't come back together.
-        long tenths = wait * 5 + chance.nextLong(wait * 5 + 1);
-        wait = Math.min(limits.journalLongestWait, wait * 2);
-        front.timers().in(tenths, () -> follow(ended));
     }
 
-    private final class Stream extends ChannelInboundHandlerAdapter {
+    /** One call, from its dial to its end. */
+    private final class Call extends ChannelInboundHandlerAdapter {
+        private final SocketReads reads = new SocketReads();
         private final EventStream events = new EventStream(limits.journalBytes, limits.journalPart,
                 new EventStream.Reader() {
                     @Override
@@ -171,12 +136,97 @@
                         notTaken("journal event too long, not taken", bytes, limits.journalBytes);
                     }
                 });
+        private Channel channel;
+        private long heardAt;
+        private boolean connected;
         private boolean answered;
+        private boolean reading;
+
+        private void dial() {
+            heardAt = front.clock().now();
+            ChannelFuture dialled = dialer.clone().handler(new ChannelInitializer<>() {
+                @Override
+                protected void initChannel(Channel made) {
+                    made.pipeline().addLast(reads, new HttpClientCodec(), Call.this);
+                }
+            }).connect(service);
+            channel = dialled.channel();
+            channel.closeFuture().addListener(closed -> ended());
+            front.dialled(dialled, this::dialled);
+            watch();
+        }
+
+        private void dialled(ChannelFuture done) {
+            if (!done.isSuccess()) {
+                if (calls.contains(this)) {
+                    front.log().line("journal unreachable", String.valueOf(done.cause().getMessage()));
+                }
+                ended();
+                return;
+            }
+            connected = true;
+            DefaultFullHttpRequest get =
+                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/journal");
+            get.headers().set(HttpHeaderNames.HOST,
+                    service.getAddress().getHostAddress() + ":" + service.getPort())
+                    .set(HttpHeaderNames.ACCEPT, "text/event-stream")
+                    .set("Last-Event-ID", Long.toString(position));
+            channel.writeAndFlush(get);
+        }
+
+        /** Among the front's own alarms, as for engines: a stop of this process is no silence of the service. */
+        private void watch() {
+            long patience = (connected ? limits.journalSilence : limits.journalConnect) * 10L;
+            front.timers().at(heardAt + patience, () -> {
+                if (!calls.contains(this)) {
+                    return;
+                }
+                long silent = front.clock().now() - heardAt;
+                if (silent < (connected ? limits.journalSilence : limits.journalConnect) * 10L) {
+                    watch();
+                } else if (calls.peekLast() == this) {
+                    front.log().line("journal silent, called again", "");
+                    followLater();
+                }
+            });
+        }
+
+        /** It has told something: the others are needed no more. */
+        private void speaks() {
+            boolean watched = calls.peekLast() == this && nextCall == null;
+            heardAt = front.clock().now();
+            List<Call> others = calls.stream().filter(call -> call != this).toList();
+            calls.removeAll(others);
+            others.forEach(Call::close);
+            front.timers().cancel(nextCall);
+            nextCall = null;
+            if (!watched) {
+                watch();
+            }
+        }
+
+        private void readNow() {
+            if (!reading && channel.isActive()) {
+                reads.readAll(channel);
+            }
+        }
+
+        private void close() {
+            Front.close(channel);
+        }
+
+        /** Called again, unless another call may still be answered. */
+        private void ended() {
+            boolean newest = calls.peekLast() == this;
+            if (calls.remove(this) && newest) {
+                followLater();
+            }
+        }
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             front.probe().is("journal event");
-            if (ctx.channel() != channel || !channel.isOpen()) {
+            if (!calls.contains(this) || !channel.isOpen()) {
                 // After a move, or after an event that could not be used.
                 ReferenceCountUtil.release(message);
                 return;
@@ -196,9 +246,10 @@
                         return;
                     }
                 }
-                if (message instanceof HttpContent content && answered && events.feed(content.content())) {
+                if (message instanceof HttpContent content && answered && events.feed(content.content())
+                        && calls.contains(this)) {
                     // Only a whole line is a sign of life: bytes that trickle tell nothing.
-                    heardAt = front.clock().now();
+                    speaks();
                 }
                 if (message instanceof LastHttpContent) {
                     ctx.close();
@@ -214,20 +265,20 @@
                 return;
             }
             try {
-                if (read(id, data, length)) {
+                if (Journal.this.read(id, data, length, heardAt)) {
                     wait = limits.journalFirstWait;
                 } else {
                     channel.close();
                 }
             } catch (IOException | BootException e) {
-                front.log().line("journal event malformed, called again", e.getMessage());
+                malformed(id, e.getMessage());
                 channel.close();
             }
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            if (answered && ctx.channel() == channel) {
+            if (answered && calls.contains(this)) {
                 front.log().line("journal stream ended, called again", "");
             }
         }
@@ -243,8 +294,13 @@
         }
     }
 
-    /** False if events before it are missing and it has to be called again from the last one read. */
-    private boolean read(String id, byte[] data, int length) throws IOException, BootException {
+    /**
+     * False if events before it are missing and it has to be called again from the last one read.
+     *
+     * @param lastHeard when the call that brings it last said anything before
+     */
+    private boolean read(String id, byte[] data, int length, long lastHeard) throws IOException,
+            BootException {
         HostRow.Reader rows = new HostRow.Reader(limits.engines);
         Map<?, ?> event = Json.map(Json.read(data, length, "hosts.hosts", rows), "event");
         long number = id.isEmpty() ? Json.whole(event, "pos", 0) : Json.whole(Map.of("id", id), "id", 0);
@@ -265,7 +321,7 @@
             }
             // Called again, and still not told: a late list is better than none.
         }
-        Map<Id.Engine, Host> hosts = list == null ? Map.of() : hosts(list);
+        Map<Id.Engine, Host> hosts = list == null ? Map.of() : hosts(list, lastHeard);
         gapSeen = false;
         position = number;
         if (list != null) {
@@ -275,6 +331,22 @@
         return true;
     }
 
+    /** Called again; one that comes malformed again is passed over, or nothing behind it would be heard. */
+    private void malformed(String id, String why) {
+        boolean again = !id.isEmpty() && id.equals(malformedId);
+        malformedId = id;
+        if (!again) {
+            front.log().line("journal event malformed, called again", why);
+            return;
+        }
+        front.log().line("journal event malformed again, passed over", why);
+        try {
+            position = Math.max(position, Long.parseLong(id));
+        } catch (NumberFormatException e) {
+            // An event without a number can't be asked past.
+        }
+    }
+
     /** The list held so far stays. A call from before the event would bring the same again. */
     private void notTaken(String what, long size, long most) {
         front.log().line(what, size + " of " + most);
@@ -328,22 +400,25 @@
     }
 
     /** By name: of one that is named twice, the last word counts, once. */
-    private Map<Id.Engine, Host> hosts(Map<?, ?> list) throws BootException {
+    private Map<Id.Engine, Host> hosts(Map<?, ?> list, long lastHeard) throws BootException {
         Map<Id.Engine, Host> hosts = new LinkedHashMap<>();
         for (Object entry : Json.list(list.get("hosts"), "hosts")) {
             if (!(entry instanceof HostRow row)) {
                 throw new BootException("hosts", "holds what is no object");
             }
             hosts.put(row.engine(), new Host(new Event.Listing(row.engine(), row.kind(), row.zone(),
-                    row.cell(), row.health(), startedAt(row)), row.address(), row.bornMs()));
+                    row.cell(), row.health(), startedAt(row, lastHeard)), row.address(), row.bornMs()));
         }
         return hosts;
     }
 
     /** The same start is the same moment each time it is named, whatever the system's clock did meanwhile. */
-    private long startedAt(HostRow row) {
+    private long startedAt(HostRow row, long lastHeard) {
         Host before = held.get(row.engine());
-        return before != null && before.bornMs() == row.bornMs() ? before.listing().startedAt()
-                : front.clock().ofUnixMs(row.bornMs());
+        if (before != null && before.bornMs() == row.bornMs()) {
+            return before.listing().startedAt();
+        }
+        long estimate = front.clock().ofUnixMs(row.bornMs());
+        return estimate == 0 ? 0 : EngineStartTime.ofNewEngine(estimate, lastHeard);
     }
 }
--- a/src/main/java/reedspring/net/Limits.java
+++ b/src/main/java/reedspring/net/Limits.java
@@ -11,10 +11,10 @@
  */
 final class Limits {
     /**
-     * Files of the JVM and its libraries, log, loop and listener, two calls to the journal service (the old
-     * one ends after a move), the configuration's file and some to spare; 29 are open on a front at rest.
+     * Files of the JVM and its libraries, log, loop and listener, three calls to the journal service, the
+     * configuration's file and some to spare; 29 are open on a front at rest.
      */
-    private static final int OWN_DESCRIPTORS = 40;
+    private static final int OWN_DESCRIPTORS = 41;
 
     // Clients. They may hold a third of the descriptors; the rest of the half is for those that overlap.
     final int clientConnections;
--- /dev/null
+++ b/src/test/java/reedspring/core/policy/PoliciesTest.java
@@ -0,0 +1,39 @@
+package reedspring.core.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import net.jqwik.api.Example;
+import reedspring.core.policy.AcceptBackoff.Cause;
+
+/** The small policies, each by its edges. Times are tenths of a millisecond. */
+class PoliciesTest {
+    @Example
+    void aFailureOfOneConnectionCostsNothingAndLacksAreWaitedForLongerAndLonger() {
+        AcceptBackoff backoff = new AcceptBackoff();
+        assertEquals(0, backoff.failed(Cause.CONNECTION));
+        assertEquals(10, backoff.failed(Cause.MEMORY));
+        assertEquals(20, backoff.failed(Cause.MEMORY));
+        assertEquals(0, backoff.failed(Cause.CONNECTION));
+        for (int k = 0; k < 10; k++) {
+            assertTrue(backoff.failed(Cause.OTHER) <= 200);
+        }
+        assertEquals(400, backoff.failed(Cause.DESCRIPTORS));
+        assertEquals(500, backoff.failed(Cause.DESCRIPTORS));
+        assertEquals(500, backoff.failed(Cause.DESCRIPTORS));
+        backoff.succeeded();
+        assertEquals(10, backoff.failed(Cause.DESCRIPTORS));
+    }
+
+    @Example
+    void aNewEngineThatIsSaidToBeOldIsNotBelieved() {
+        assertEquals(900_000, EngineStartTime.ofNewEngine(900_000, 960_000), "within what news may take");
+        assertEquals(980_000, EngineStartTime.ofNewEngine(900_000, 980_000));
+        assertEquals(900_000, EngineStartTime.ofNewEngine(900_000, 0), "nothing was heard before");
+    }
+
+    @Example
+    void aStartThatLiesInTheFutureByBothClocksIsNow() {
+        assertEquals(1_000, EngineStartTime.estimate(1_500, 1_000, 1_200));
+    }
+}
--- a/src/test/java/reedspring/net/CodecTest.java
+++ b/src/test/java/reedspring/net/CodecTest.java
@@ -276,4 +276,27 @@
         assertEquals(5_000_020 - 10_000, clock.ofUnixMs((unix[0] - 10_000) / 10));
         assertEquals(0, clock.ofUnixMs(0), "long ago");
     }
+
+    /**
+     * The clock of this machine alone is stepped, of all machines, or of none: what started a second ago counts
+     * as started then, or later, and never as warm.
+     */
+    @Example
+    void aStepOfTheClockMakesNoColdEngineWarm() {
+        long second = 10_000;
+        for (long step : new long[] {0, 5 * second, -5 * second, 3_600 * second, -3_600 * second}) {
+            for (boolean everywhere : new boolean[] {true, false}) {
+                long[] unix = {5_000_000_000L};
+                long[] steady = {77};
+                Clock clock = new Clock(() -> unix[0], () -> steady[0]);
+                unix[0] += step + 60 * second;
+                steady[0] += 60 * second * 100_000;
+                long truth = clock.now() - second;
+                long told = unix[0] - second - (everywhere ? 0 : step);
+                long started = clock.ofUnixMs(told / 10);
+                assertTrue(started >= truth && started <= clock.now(), "step " + step + ", everywhere "
+                        + everywhere + ": " + (started - truth) + " after the truth");
+            }
+        }
+    }
 }
--- a/src/test/java/reedspring/net/CrossingsIT.java
+++ b/src/test/java/reedspring/net/CrossingsIT.java
@@ -145,6 +145,23 @@
         assertTrue(tookMs < 7_000, "it counts as told after 7 s: " + tookMs);
     }
 
+    /** The same event came with each call, and nothing behind it was ever heard. */
+    @Example
+    void anEventThatCanNeverBeReadHidesNothingBehindIt() throws Exception {
+        EngineStandIn first = engine(1);
+        EngineStandIn second = engine(1);
+        journal = open(new JournalStandIn());
+        journal.tell(true, host("e0", first.address(), "ready"));
+        journal.tell(false, host("e0", first.address(), "no such state"));
+        journal.tell(false, host("e0", first.address(), "draining"), host("e1", second.address(), "ready"));
+        front = open(new Program(Program.config(Program.freeAddress(), journal.address(),
+                event(1, true, host("e0", first.address(), "ready"))))).ready();
+        await("the new engine in use", () -> served() && !second.seen("fetch").isEmpty());
+        int before = first.seen("fetch").size();
+        serves();
+        assertEquals(before, first.seen("fetch").size(), "sent to an engine that drains");
+    }
+
     // ---- start and submissions
 
     /** A change that never left the front was answered as if it might have run. */
