A reload whose file is away for a moment is read again, a taken address is waited for

Now: five tries within 1.5 s, the first failure told as before; 60 tries within 3 s, then 69 as before.

--- a/src/main/java/reedspring/net/Startup.java
+++ b/src/main/java/reedspring/net/Startup.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
 import org.tinylog.provider.ProviderRegistry;
 import reedspring.boot.Boot;
 import reedspring.boot.BootException;
@@ -39,6 +40,11 @@
     private static final int USUAL_MEMORY_MB = 192;
     private static final int LEAST_MEMORY_MB = 64;
     private static final long LOG_CLOSING_MS = 100;
+    private static final int LISTEN_TRIES = 60;
+    private static final long LISTEN_REST_MS = 50;
+    /** Over 1.5 s in all. */
+    private static final int RELOAD_TRIES = 5;
+    private static final long RELOAD_FIRST_REST_MS = 100;
     private static final long SPOOL_CLOSING_MS = 300;
 
     private Startup() {
@@ -109,8 +115,8 @@
             Journal journal = loop.submit(() -> raise(loop, turns, orders, additions, raised)).get();
             Front front = raised.get();
             reloads.by(() -> reload(loop, front, journal, path));
-            ChannelFuture bound = server(group, front, orders.limits()).bind(orders.listen());
-            if (!bound.awaitUninterruptibly().isSuccess()) {
+            ChannelFuture bound = listen(() -> server(group, front, orders.limits()), orders.listen());
+            if (!bound.isSuccess()) {
                 System.err.println("reedspring: listen: " + bound.cause().getMessage());
                 Runtime.getRuntime().halt(UNAVAILABLE);
             }
@@ -136,6 +142,20 @@
         }
     }
 
+    /**
+     * Waits for the address for a while: the process before may not have gone yet, and the system may lack for a
+     * moment what a socket takes.
+     */
+    private static ChannelFuture listen(Supplier<ServerBootstrap> server, InetSocketAddress address)
+            throws InterruptedException {
+        ChannelFuture bound = server.get().bind(address).awaitUninterruptibly();
+        for (int tries = 1; tries < LISTEN_TRIES && !bound.isSuccess(); tries++) {
+            Thread.sleep(LISTEN_REST_MS);
+            bound = server.get().bind(address).awaitUninterruptibly();
+        }
+        return bound;
+    }
+
     /**
      * One that is wanted before the front is up is made up for: the file may have been read just before.
      * They are done one after another, or one that had read an earlier file could be the last to be in force.
@@ -188,12 +208,28 @@
      * rest is what its decisions and limits were made from. A file that can't be used changes nothing.
      */
     static void reload(EventLoop loop, Front front, Journal journal, String path) {
+        // A file that is away or half written for a moment is read again: no further signal may come for it.
+        long rest = RELOAD_FIRST_REST_MS;
+        for (int tries = 1; !reloaded(loop, front, journal, path) && tries < RELOAD_TRIES; tries++) {
+            try {
+                Thread.sleep(rest);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+            rest *= 2;
+        }
+    }
+
+    /** False if the file could not be used. */
+    private static boolean reloaded(EventLoop loop, Front front, Journal journal, String path) {
         try {
             InetSocketAddress service = Orders.read(path).journal();
             loop.execute(() -> {
                 front.log().line("configuration read again, journal at", service.toString());
                 journal.move(service);
             });
+            return true;
         } catch (BootException e) {
             // A kind of its own for each fault, so that each is named.
             String line = "configuration can't be used, nothing changed: " + e.getMessage();
@@ -201,6 +237,7 @@
         } catch (RuntimeException e) {
             loop.execute(() -> front.log().fault("configuration can't be used, nothing changed", e));
         }
+        return false;
     }
 
     /** Runs as a shutdown hook, on SIGTERM: holds the end up until the front has left, and makes it a 0. */
--- a/src/test/java/reedspring/net/CrossingsIT.java
+++ b/src/test/java/reedspring/net/CrossingsIT.java
@@ -9,6 +9,11 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
@@ -162,8 +167,40 @@
         assertEquals(before, first.seen("fetch").size(), "sent to an engine that drains");
     }
 
+    /** The file is away for a moment just when it is to be read again, and no further signal comes. */
+    @Example
+    void aReloadWhoseFileCanNotBeReadForAMomentIsNotLost() throws Exception {
+        start(engine(1));
+        JournalStandIn next = open(new JournalStandIn());
+        Path away = Files.createTempFile("reedspring", ".next");
+        Files.writeString(away, Program.config(front.listen, next.address()));
+        Files.delete(front.file());
+        front.signal("-HUP");
+        await("its line", () -> front.logged("configuration can't be used, nothing changed"));
+        Files.move(away, front.file(), StandardCopyOption.REPLACE_EXISTING);
+        await("the call at the new address", () -> !next.calledFrom.isEmpty());
+    }
+
     // ---- start and submissions
 
+    /** The process before may not have gone yet when the next is started. */
+    @Example
+    void anAddressThatIsTakenForAMomentIsWaitedFor() throws Exception {
+        String listen = Program.freeAddress();
+        journal = open(new JournalStandIn());
+        EngineStandIn engine = engine(1);
+        try (ServerSocket before = new ServerSocket(Integer.parseInt(listen.substring(listen.indexOf(':') + 1)),
+                1, InetAddress.getLoopbackAddress())) {
+            front = open(new Program(Program.config(listen, journal.address(),
+                    event(1, true, host("e0", engine.address(), "ready")))));
+            await("the journal's call", () -> !journal.calledFrom.isEmpty() || !front.process.isAlive());
+            Thread.sleep(500);
+            assertTrue(before.isBound());
+        }
+        front.ready();
+        serves();
+    }
+
     /** A change that never left the front was answered as if it might have run. */
     @Example
     void aChangeThatNeverLeftIsSafeToTryAgain() throws Exception {
