Kept answers outlive reads that fail for a while and a start on a disk that fails

Cause: any error while a page was read counted as damage, and the answer was given up for good (an error of the disk, or no descriptor, lasts for a moment); a start whose folder could not be read, or whose index could not be written, ended the writer, and what was kept before could not be read until the next start. Now only wrong bytes are damage; the rest is told as busy and read again; the start tries again every half second and goes on without an index (the segment is read whole again next time).

--- a/src/main/java/reedspring/spool/Spool.java
+++ b/src/main/java/reedspring/spool/Spool.java
@@ -117,6 +117,8 @@
             ask(asked);
         } else if (word instanceof Word.PageRead read) {
             read(read);
+        } else if (word instanceof Word.PageUnread unread) {
+            unread(unread);
         } else if (word instanceof Word.PageDamaged damaged) {
             damaged(damaged);
         } else if (word instanceof Word.Released released) {
@@ -456,6 +458,14 @@
         }
     }
 
+    /** Its client comes again; the answer is still owed. */
+    private void unread(Word.PageUnread unread) {
+        endRead(unread.reader(), unread.answer());
+        boolean kept = answers.containsKey(unread.answer());
+        out.accept(new Step.Remark("spool page not read: " + unread.why()));
+        out.accept(new Step.Say(unread.reader(), kept ? Reason.BUSY : Reason.GONE, kept ? SOON : 0));
+    }
+
     /** An answer of which a page is spoilt is none: nobody can be given all of it any more. */
     private void damaged(Word.PageDamaged damaged) {
         endRead(damaged.reader(), damaged.answer());
--- a/src/main/java/reedspring/spool/Word.java
+++ b/src/main/java/reedspring/spool/Word.java
@@ -38,6 +38,10 @@
     record PageRead(long reader, AnswerId answer, int page) implements Word {
     }
 
+    /** The page can't be read just now, as the disk or the system fails; what is there is not known to be bad. */
+    record PageUnread(long reader, AnswerId answer, int page, String why) implements Word {
+    }
+
     /** The page is not what was written, or can't be read any more. */
     record PageDamaged(long reader, AnswerId answer, int page, String why) implements Word {
     }
--- a/src/main/java/reedspring/spool/store/Keeper.java
+++ b/src/main/java/reedspring/spool/store/Keeper.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import reedspring.spool.AnswerId;
 import reedspring.spool.Step;
 import reedspring.spool.Word;
@@ -37,6 +38,7 @@
     }
 
     private static final Task END = new Task(null, null);
+    private static final long RECOVER_REST_MS = 500;
 
     private final Store store;
     private final Executor loop;
@@ -92,12 +94,9 @@
 
     private void write() {
         try {
-            say(store.recover(this::remark));
-        } catch (IOException | RuntimeException e) {
-            say(new Word.Unusable(String.valueOf(e.getMessage())));
-            return;
-        }
-        try {
+            if (!recover()) {
+                return;
+            }
             while (true) {
                 Task task = pending.isEmpty() ? writes.take() : writes.poll();
                 if (task == null || !pending.isEmpty() && System.nanoTime() - pendingSince >= groupNanos) {
@@ -119,6 +118,29 @@
         }
     }
 
+    /**
+     * Finds what is there, again and again while the disk fails: what was kept before is still owed. False if
+     * nothing can be kept.
+     */
+    private boolean recover() throws IOException, InterruptedException {
+        while (true) {
+            try {
+                say(store.recover(this::remark));
+                return true;
+            } catch (RuntimeException e) {
+                say(new Word.Unusable(String.valueOf(e.getMessage())));
+                return false;
+            } catch (IOException e) {
+                remark("folder can't be read yet: " + e.getMessage());
+            }
+            // Nothing is asked of a spool that has not said what it found, but to end.
+            if (writes.poll(RECOVER_REST_MS, TimeUnit.MILLISECONDS) == END) {
+                store.close();
+                return false;
+            }
+        }
+    }
+
     private void one(Task task) {
         long segment = segmentOf(task.step());
         try {
@@ -219,9 +241,13 @@
                         listener.page(wanted.reader(), text);
                         listener.word(new Word.PageRead(wanted.reader(), wanted.answer(), wanted.page()));
                     });
-                } catch (IOException | RuntimeException e) {
+                } catch (Store.DamagedException | RuntimeException e) {
                     say(new Word.PageDamaged(wanted.reader(), wanted.answer(), wanted.page(),
                             String.valueOf(e.getMessage())));
+                } catch (IOException e) {
+                    // An error of the disk, or no descriptor: what lies there may be read yet.
+                    say(new Word.PageUnread(wanted.reader(), wanted.answer(), wanted.page(),
+                            String.valueOf(e.getMessage())));
                 }
             }
         } catch (InterruptedException e) {
--- a/src/main/java/reedspring/spool/store/Store.java
+++ b/src/main/java/reedspring/spool/store/Store.java
@@ -175,6 +175,15 @@
         writeIndex(new Format.Index(segment, to.synced, List.copyOf(to.whole.values()), to.dropped));
     }
 
+    /** Without its index the segment is read whole again at the next start; what is in it is there all the same. */
+    private void sealFound(Format.Index index, Consumer<String> remarks) {
+        try {
+            writeIndex(index);
+        } catch (IOException e) {
+            remarks.accept("segment " + index.number() + ": no index written: " + e.getMessage());
+        }
+    }
+
     private void writeIndex(Format.Index index) throws IOException {
         String undone = Format.undone(index.number());
         disk.delete(undone);
@@ -286,12 +295,20 @@
         for (String name : disk.list()) {
             if (Format.undone(name) || Format.indexNumber(name) >= 0
                     && !disk.list().contains(Format.segment(Format.indexNumber(name)))) {
-                disk.delete(name);
+                discard(name, remarks);
             }
         }
         return find(remarks, true);
     }
 
+    private void discard(String name, Consumer<String> remarks) {
+        try {
+            disk.delete(name);
+        } catch (IOException e) {
+            remarks.accept(name + " can't be deleted: " + e.getMessage());
+        }
+    }
+
     /** The same, and changes nothing. */
     Word.Found look(Consumer<String> remarks) throws IOException {
         return find(remarks, false);
@@ -354,7 +371,7 @@
                     remarks.accept("segment " + number + ": " + scan.skipped + " bytes can't be read");
                 }
                 if (seal) {
-                    writeIndex(index);
+                    sealFound(index, remarks);
                 }
             }
             segments.add(new Word.FoundSegment(number,
--- a/src/test/java/reedspring/spool/store/KeeperTest.java
+++ b/src/test/java/reedspring/spool/store/KeeperTest.java
@@ -26,6 +26,7 @@
     private final List<String> pages = new CopyOnWriteArrayList<>();
     private final MemoryDisk disk = new MemoryDisk(1);
     private volatile CountDownLatch goOn = new CountDownLatch(0);
+    private volatile boolean readsFail;
     private final Store store = new Store(new Stalling(), "n0", 100);
     private final Keeper keeper = new Keeper(store, loop, new Keeper.Listener() {
         @Override
@@ -76,6 +77,9 @@
 
         @Override
         public In open(String name) throws IOException {
+            if (readsFail) {
+                throw new IOException("Input/output error");
+            }
             return disk.open(name);
         }
 
@@ -132,6 +136,57 @@
         await("the second", () -> words.contains(new Word.Committed(second)));
     }
 
+    /** An answer that was acknowledged is owed, whatever the disk does for a while. */
+    @Example
+    void aReadThatFailsForAWhileCostsNoAnswer() throws Exception {
+        AnswerId first = new AnswerId(1, 1);
+        keeper.start();
+        keeper.accept(new Step.Open(1), null);
+        keep(first, 1);
+        await("the first", () -> words.contains(new Word.Committed(first)));
+        readsFail = true;
+        keeper.accept(new Step.ReadPage(7, first, 1, 0), null);
+        await("what became of it", () -> words.stream().anyMatch(word -> word instanceof Word.PageUnread
+                || word instanceof Word.PageDamaged));
+        assertTrue(words.stream().noneMatch(Word.PageDamaged.class::isInstance), "called damaged: " + words);
+        readsFail = false;
+        keeper.accept(new Step.ReadPage(8, first, 1, 0), null);
+        await("its page", () -> words.contains(new Word.PageRead(8, first, 0)));
+    }
+
+    /** A kill left a segment without its index, and the disk fails when the next process starts. */
+    @Example
+    void aStartOnADiskThatFailsFindsWhatWasKept() throws Exception {
+        AnswerId first = new AnswerId(1, 1);
+        keeper.start();
+        keeper.accept(new Step.Open(1), null);
+        keep(first, 1);
+        await("the first", () -> words.contains(new Word.Committed(first)));
+        disk.restart();
+        disk.faults(1);
+        readsFail = true;
+        words.clear();
+        Keeper next = new Keeper(new Store(new Stalling(), "n0", 100), loop, new Keeper.Listener() {
+            @Override
+            public void word(Word word) {
+                words.add(word);
+            }
+
+            @Override
+            public void page(long reader, ByteBuffer text) {
+                pages.add("read");
+            }
+        }, 50);
+        next.start();
+        Thread.sleep(200);
+        readsFail = false;
+        await("what was kept", () -> words.stream().anyMatch(word -> word instanceof Word.Found found
+                && found.answers().stream().anyMatch(answer -> answer.answer().equals(first))));
+        next.accept(new Step.ReadPage(7, first, 1, 0), null);
+        await("its page", () -> pages.contains("read"));
+        assertTrue(next.close(5_000));
+    }
+
     @Example
     void afterAFailedSyncNothingMoreOfTheSegmentIsAcknowledged() throws Exception {
         AnswerId first = new AnswerId(1, 1);
