--- a/src/rig/java/reedspring/rig/fleet/Crowd.java
+++ b/src/rig/java/reedspring/rig/fleet/Crowd.java
@@ -1,18 +1,23 @@
 package reedspring.rig.fleet;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import reedspring.rig.Client;
 import reedspring.rig.Rig;
+import reedspring.rig.fleet.Timetable.What;
 
 /**
  * The clients: seeded queries at seeded moments, each to a front that takes its part of them, over a few
@@ -25,6 +30,13 @@
     private static final int TRIES = 2;
     /** After which the layer before the fronts sends no more to one that refuses. */
     private static final long LAYER_NOTICES = 1_000 * MS;
+    /** A request that crosses the end of its connection within that time is sent again, once. */
+    private static final long CROSSING = 50 * MS;
+    private static final int SLOW_ONE_IN = 6;
+    private static final int SLOW_PIECES = 12;
+    private static final double GIVES_UP = 0.3;
+    private static final int MOST_PATIENT_MS = 400;
+    private static final int PIPELINED = 30;
 
     /** One query of a client, over its tries. */
     record Ask(int group, double workMs, double needMb, long first) {
@@ -36,11 +48,24 @@
         final int number;
         final String trace = Client.trace();
         final int front;
-        final long sentAt = System.nanoTime();
+        /** Before the last byte was written. */
+        volatile long sentAt = System.nanoTime();
+        /** What it said that it would wait, in milliseconds from when it was sent; 0 before that. */
+        volatile int patienceMs;
         final List<String> came = new ArrayList<>();
         volatile long cameAt;
         volatile boolean sent;
         volatile boolean connectionLost;
+        volatile long lostAt;
+        /** When its client took it back or closed its connection; 0 if it did not. */
+        volatile long goneAt;
+        private boolean sentAgain;
+
+        /** Its connection has ended. */
+        void isLost() {
+            lostAt = System.nanoTime();
+            connectionLost = true;
+        }
 
         Try(Ask ask, int number, int front) {
             this.ask = ask;
@@ -62,6 +87,10 @@
     });
     private final SplittableRandom chance;
     private final List<Try> tries = new ArrayList<>();
+    /** Fronts to which the layer before them sends nothing new, as they are being taken down. */
+    private final Set<Integer> leaving = ConcurrentHashMap.newKeySet();
+    /** What clients do now beside asking. */
+    private final Set<What> manners = ConcurrentHashMap.newKeySet();
 
     /** One connection to a front, through its door. */
     private final class Link {
@@ -85,22 +114,63 @@
                     reader.setDaemon(true);
                     reader.start();
                 }
-                open.put((long) ++ids, one);
-                Map<String, Object> fields = Client.fields(one.trace, patience(one));
-                fields.put("weight", String.format(Locale.ROOT, "%.2f", one.ask.workMs));
-                fields.put("need_mb", String.format(Locale.ROOT, "%.0f", one.ask.needMb));
-                client.send(Client.pack(List.of(0, ids, Terms.GROUPS[one.ask.group], List.of(fields, String
-                        .format(
-                        Locale.ROOT, "select work=%.2f need=%.1f threads=%d from sales_%d.orders",
-                                one.ask.workMs,
-                        one.ask.needMb, Terms.THREADS[one.ask.group], ids % 9).getBytes()))));
-                one.sent = true;
+                int id = ++ids;
+                open.put((long) id, one);
+                write(client, one, id);
+                if (manners.contains(What.GIVE_UP) && one.sent && draw() < GIVES_UP) {
+                    Client mine = client;
+                    Map<Long, Try> others = open;
+                    long soon = (long) (draw() * MOST_PATIENT_MS);
+                    boolean closes = draw() < 0.5;
+                    later.schedule(() -> givesUp(mine, others, one, id, closes), soon, TimeUnit.MILLISECONDS);
+                }
             } catch (IOException e) {
+                // What its front was to be sent once more, and is sent elsewhere then, was not taken here.
+                one.sent &= !one.sentAgain;
                 lost(client, open);
                 refusedAt[front] = System.nanoTime();
             }
         }
 
+        private void write(Client to, Try one, int id) throws IOException {
+            boolean slowly = manners.contains(What.SLOW_CLIENTS) && draw() * SLOW_ONE_IN < 1;
+            one.patienceMs = patience(one);
+            byte[] query = message(one, id);
+            if (slowly) {
+                for (int k = 0; k < SLOW_PIECES - 1; k++) {
+                    to.send(Arrays.copyOfRange(query, k * query.length / SLOW_PIECES,
+                            (k + 1) * query.length / SLOW_PIECES));
+                    pause((int) (draw() * 2 * MOST_PATIENT_MS / 5));
+                }
+            }
+            one.sentAt = System.nanoTime();
+            to.send(slowly ? Arrays.copyOfRange(query, (SLOW_PIECES - 1) * query.length / SLOW_PIECES, query.length)
+                    : query);
+            one.sent = true;
+        }
+
+        private synchronized void givesUp(Client mine, Map<Long, Try> others, Try one, int id, boolean closes) {
+            try {
+                synchronized (Crowd.this) {
+                    long now = System.nanoTime();
+                    if (closes) {
+                        others.values().stream().filter(each -> each.came.isEmpty() && each.goneAt == 0)
+                                .forEach(each -> each.goneAt = now);
+                    } else if (one.came.isEmpty()) {
+                        one.goneAt = now;
+                    }
+                }
+                if (closes) {
+                    mine.close();
+                    client = client == mine ? null : client;
+                } else {
+                    mine.send(Client.pack(List.of(2, "revoke", List.of(id))));
+                }
+            } catch (IOException e) {
+                // its connection has gone before
+            }
+        }
+
         private void read(Client from, Map<Long, Try> mine) {
             try {
                 while (true) {
@@ -117,8 +187,19 @@
         }
 
         private synchronized void lost(Client which, Map<Long, Try> mine) {
-            mine.values().stream().filter(one -> one.came.isEmpty()).forEach(one ->
-                    one.connectionLost = true);
+            long now = System.nanoTime();
+            for (Try one : List.copyOf(mine.values())) {
+                if (!one.came.isEmpty() || one.goneAt != 0) {
+                    continue;
+                }
+                if (one.sent && !one.sentAgain && now - one.sentAt < CROSSING) {
+                    one.sentAgain = true;
+                    mine.values().remove(one);
+                    sends.execute(() -> send(one));
+                } else {
+                    one.isLost();
+                }
+            }
             if (which != null && client == which) {
                 client = null;
             }
@@ -146,6 +227,137 @@
         }
     }
 
+    private static byte[] message(Try one, int id) {
+        Map<String, Object> fields = Client.fields(one.trace, one.patienceMs);
+        fields.put("weight", String.format(Locale.ROOT, "%.2f", one.ask.workMs));
+        fields.put("need_mb", String.format(Locale.ROOT, "%.0f", one.ask.needMb));
+        String statement = String.format(Locale.ROOT, "select work=%.2f need=%.1f threads=%d from sales_%d.orders",
+                one.ask.workMs, one.ask.needMb, Terms.THREADS[one.ask.group], id % 9);
+        return Client.pack(List.of(0, id, Terms.GROUPS[one.ask.group], List.of(fields, statement.getBytes())));
+    }
+
+    private synchronized double draw() {
+        return chance.nextDouble();
+    }
+
+    private static void pause(int ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    void manner(What what, boolean on) {
+        if (on) {
+            manners.add(what);
+        } else {
+            manners.remove(what);
+        }
+    }
+
+    /** The layer before the fronts sends it nothing more, or again. */
+    void leaves(int front, boolean on) {
+        if (on) {
+            leaving.add(front);
+        } else {
+            leaving.remove(front);
+        }
+    }
+
+    /** Connections of clients that do what no good client does, to one front; called again and again. */
+    void misbehave(int front) {
+        if (leaving.contains(front)) {
+            return;
+        }
+        if (manners.contains(What.BAD_CLIENTS)) {
+            double kind = draw();
+            sends.execute(() -> badly(front, kind));
+        }
+        if (manners.contains(What.PIPELINE) && draw() < 0.1) {
+            sends.execute(() -> pipeline(front, false));
+        }
+    }
+
+    private void badly(int front, double kind) {
+        try {
+            if (kind < 0.2) {
+                pipeline(front, true);
+                return;
+            }
+            Try one = kind < 0.6 ? extra(front) : null;
+            Client client = new Client(addresses[front]);
+            later.schedule(() -> closed(client), 5, TimeUnit.SECONDS);
+            if (one == null) {
+                client.send(kind < 0.8 ? new byte[] {(byte) 0x94, 0, 1} : new byte[0]);
+                return;
+            }
+            one.patienceMs = patience(one);
+            one.sentAt = System.nanoTime();
+            client.send(message(one, 1));
+            one.sent = true;
+            pause(30);
+            // What goes before the noise is in order, and is owed its answer.
+            client.send(kind < 0.4 ? new byte[] {(byte) 0xc1, 1, 2} : Arrays.copyOf(message(one, 2), 20));
+            reads(client, Map.of(1L, one));
+        } catch (IOException e) {
+            // its front is down
+        }
+    }
+
+    /** Thirty at once on a connection of their own; {@code goes}: and a close right behind them. */
+    private void pipeline(int front, boolean goes) {
+        try {
+            Client client = new Client(addresses[front]);
+            Map<Long, Try> mine = new HashMap<>();
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            for (int id = 1; id <= PIPELINED; id++) {
+                Try one = extra(front);
+                one.patienceMs = patience(one);
+                mine.put((long) id, one);
+                all.writeBytes(message(one, id));
+            }
+            mine.values().forEach(one -> one.sentAt = System.nanoTime());
+            client.send(all.toByteArray());
+            mine.values().forEach(one -> one.sent = true);
+            if (goes) {
+                mine.values().forEach(one -> one.goneAt = System.nanoTime());
+                client.close();
+                return;
+            }
+            reads(client, mine);
+        } catch (IOException e) {
+            // its front is down
+        }
+    }
+
+    private synchronized Try extra(int front) {
+        int group = table.mix().group(chance);
+        Try one = new Try(new Ask(group, table.mix().workMs(group, chance), table.mix().needMb(group, chance),
+                System.nanoTime()), TRIES, front);
+        tries.add(one);
+        return one;
+    }
+
+    private void reads(Client client, Map<Long, Try> mine) {
+        try (client) {
+            for (int left = mine.size(); left > 0; left--) {
+                List<?> answer = client.read();
+                answered(mine.get((Long) answer.get(1)), answer);
+            }
+        } catch (IOException | RuntimeException e) {
+            mine.values().stream().filter(one -> one.came.isEmpty()).forEach(Try::isLost);
+        }
+    }
+
+    private static void closed(Client client) {
+        try {
+            client.close();
+        } catch (IOException e) {
+            // it has gone by itself
+        }
+    }
+
     private int patience(Try one) {
         return (int) Math.max(1, Terms.leavesMs(table, one.ask.group) - (System.nanoTime() - one.ask.first)
                 / MS);
@@ -166,9 +378,9 @@
 
     private synchronized void turnTo(Ask ask, int number, int wanted) {
         int front = wanted;
-        for (int k = 0; k < table.fronts() && refusedAt[front] != 0
-                && System.nanoTime() - refusedAt[front] > LAYER_NOTICES; k++) {
-            if (System.nanoTime() - refusedAt[front] > 2 * LAYER_NOTICES) {
+        for (int k = 0; k < table.fronts() && (leaving.contains(front) || refusedAt[front] != 0
+                && System.nanoTime() - refusedAt[front] > LAYER_NOTICES); k++) {
+            if (!leaving.contains(front) && System.nanoTime() - refusedAt[front] > 2 * LAYER_NOTICES) {
                 refusedAt[front] = 0; // it is tried again
                 break;
             }
--- a/src/rig/java/reedspring/rig/fleet/EngineHost.java
+++ b/src/rig/java/reedspring/rig/fleet/EngineHost.java
@@ -5,9 +5,14 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import reedspring.api.Load;
@@ -19,8 +24,11 @@
  * rules.
  */
 final class EngineHost implements Closeable {
+    private static final Pattern TTL = Pattern.compile("ttl=([0-9]+)");
     private static final Pattern COSTS = Pattern.compile("work=([0-9.]+) need=([0-9.]+) threads=([0-9]+)");
     private static final int CONNECTIONS = 400;
+    private static final int SPOILT_ONE_IN = 5;
+    private static final long REST_NANOS = 150_000_000;
 
     /** One submission as it reached the engine. Times in nanoseconds; {@code endedAt} 0 while it is out. */
     static final class Attempt {
@@ -29,6 +37,8 @@
         final String engine;
         final long at;
         final double work;
+        /** What the front said that it would wait, in milliseconds; -1 if it did not say. */
+        final long ttlMs;
         volatile long endedAt;
         volatile String end = "out";
         private final EngineStandIn.Command command;
@@ -40,6 +50,8 @@
             this.at = command.at();
             this.work = work;
             this.command = command;
+            Matcher ttl = command.words().size() > 2 ? TTL.matcher(command.words().get(2)) : null;
+            this.ttlMs = ttl != null && ttl.find() ? Long.parseLong(ttl.group(1)) : -1;
         }
 
         void ends(String how) {
@@ -58,14 +70,27 @@
     private final EngineStandIn server;
     private final Machine machine;
     private final List<Attempt> attempts = new ArrayList<>();
+    /** When a front last sent something on a connection. */
+    private final Map<Socket, Long> lastUsed = new HashMap<>();
     private boolean fails;
     private boolean silent;
     private Load stuck;
     private boolean lies;
     private boolean mute;
+    private boolean hangs;
+    private boolean forgets;
+    private boolean copies;
+    private boolean spoils;
+    /** What is said once the engine goes on, or a copy is due: in order, with its moment. */
+    private final ArrayDeque<Said> toSay = new ArrayDeque<>();
+    private final SplittableRandom chance;
     private double threadTime;
     private long nextNote;
 
+    /** Something that is said later; the attempt that it ends, or null. */
+    private record Said(Attempt attempt, String word, String fields, String body, long dueAt) {
+    }
+
     /** {@code bornMs} 0: it started long ago and is warm. */
     EngineHost(Timetable table, int at, String name, long bornMs) throws IOException {
         this.name = name;
@@ -75,6 +100,7 @@
         this.machine = new Machine(table.cores(at), table.memoryMb(), table.sessions(), now(),
                 Terms.COLD_FROM,
                 bornMs == 0 ? 0 : Terms.RAMP_MS * 10L);
+        this.chance = new SplittableRandom(name.hashCode());
         this.server = new EngineStandIn(0, this::command, this::gone);
         server.mostConnections = CONNECTIONS;
     }
@@ -88,8 +114,9 @@
     }
 
     private synchronized void command(EngineStandIn.Command command) {
+        lastUsed.put(command.from(), System.nanoTime());
         if (command.word().equals("alive")) {
-            if (!silent) {
+            if (!silent && !hangs) {
                 command.answer("well", "-", "");
             }
             return;
@@ -112,9 +139,57 @@
     }
 
     private void answer(Attempt attempt, String word, String fields, String body) {
+        if (hangs) {
+            toSay.add(new Said(attempt, word, fields, body, Long.MAX_VALUE));
+            return;
+        }
         attempt.ends(word);
-        if (!silent) {
-            attempt.command.answer(word, fields, body);
+        if (silent) {
+            return;
+        }
+        if (spoils && chance.nextInt(SPOILT_ONE_IN) == 0) {
+            String whole = EngineStandIn.Command.text(attempt.trace, word, fields, body);
+            attempt.command.answerRaw(chance.nextBoolean() ? "*4\r\n$x\r\n" : whole.substring(0,
+                    whole.length() / 2));
+            return;
+        }
+        attempt.command.answer(word, fields, body);
+        if (copies) {
+            long later = System.nanoTime() + (2 + chance.nextInt(40)) * 1_000_000L;
+            toSay.add(new Said(attempt, word, fields, body, later));
+        }
+    }
+
+    /** What waited for the engine to go on, and copies that are due. */
+    private void sayOn() {
+        for (int left = toSay.size(); left > 0; left--) {
+            Said said = toSay.poll();
+            if (hangs || said.dueAt() != Long.MAX_VALUE && said.dueAt() > System.nanoTime()) {
+                toSay.add(said);
+            } else if (said.dueAt() == Long.MAX_VALUE) {
+                answer(said.attempt(), said.word(), said.fields(), said.body());
+            } else {
+                said.attempt().command.answer(said.word(), said.fields(), said.body());
+            }
+        }
+    }
+
+    /** Ends connections that have rested for a moment, as engines do that forget them early. */
+    private void forgetResting() {
+        for (Socket peer : server.accepted) {
+            Long used = lastUsed.get(peer);
+            boolean busy = attempts.stream().anyMatch(a -> a.endedAt == 0 && a.command.from() == peer);
+            if (!peer.isClosed() && used != null && !busy && System.nanoTime() - used > REST_NANOS) {
+                lastUsed.remove(peer);
+                try {
+                    if (chance.nextBoolean()) {
+                        peer.getOutputStream().write("*4\r\n$5\r\nfro".getBytes(StandardCharsets.US_ASCII));
+                    }
+                    peer.close();
+                } catch (IOException e) {
+                    // it has gone by itself
+                }
+            }
         }
     }
 
@@ -128,6 +203,10 @@
     synchronized void step(long span) {
         long now = now();
         threadTime += (double) machine.threads() * span;
+        sayOn();
+        if (forgets) {
+            forgetResting();
+        }
         for (Machine.Run run : machine.step(now, span)) {
             Attempt attempt = (Attempt) run.of;
             if (attempt.endedAt == 0) {
@@ -143,7 +222,7 @@
             for (Machine.Run run : machine.runs()) {
                 Attempt attempt = (Attempt) run.of;
                 long quarter = (now - run.since) / (Terms.NOTE_MS * 10L / 4);
-                if (attempt.endedAt == 0 && !silent && quarter % 4 == 0 && quarter > 0) {
+                if (attempt.endedAt == 0 && !silent && !hangs && quarter % 4 == 0 && quarter > 0) {
                     attempt.command.answer("news", String.format(Locale.ROOT, "why=done,val=%.3f", run
                             .share()), "");
                 }
@@ -184,6 +263,22 @@
         mute = on;
     }
 
+    synchronized void hangs(boolean on) {
+        hangs = on;
+    }
+
+    synchronized void forgets(boolean on) {
+        forgets = on;
+    }
+
+    synchronized void copies(boolean on) {
+        copies = on;
+    }
+
+    synchronized void spoils(boolean on) {
+        spoils = on;
+    }
+
     /** The process dies: connections are reset, and all that ran is lost. */
     synchronized void dies() throws IOException {
         machine.dies();
--- a/src/rig/java/reedspring/rig/fleet/Fleet.java
+++ b/src/rig/java/reedspring/rig/fleet/Fleet.java
@@ -12,10 +12,13 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import reedspring.rig.FaultShim;
+import reedspring.rig.FaultShim.Fault;
 import reedspring.rig.JournalStandIn;
 import reedspring.rig.Program;
 import reedspring.rig.Rig;
@@ -32,6 +35,8 @@
     private static final long STEP = 5;
     private static final int STARTED_AT_ONCE = 8;
     private static final int MOST_FRONTS = 200;
+    /** Less than a query's bytes, and more than a handful, or a front would have nothing else to do. */
+    private static final int SHORT_BYTES = 200;
     /** Of loopback's addresses: doors to engines, to fronts, to journals, and the relay's own by front. */
     private static final int TO_ENGINES = 21;
     private static final int TO_FRONTS = 22;
@@ -54,6 +59,10 @@
     private volatile long startedAt;
     private volatile Throwable failed;
     private int mostConnections;
+    private final Path home;
+    private final Set<Integer> misbehaves = ConcurrentHashMap.newKeySet();
+    private long lastStep;
+    private volatile long lateMs;
 
     /** One front, over its processes. */
     private final class Front {
@@ -62,11 +71,17 @@
         private final JournalStandIn journal;
         private final Relay.Door clients;
         private final Relay.Door journals;
+        /** Another address of the same journal, for configurations that move it. */
+        private final Relay.Door otherJournals;
         private final Relay.Door[] engines = new Relay.Door[table.engines()];
+        private final FaultShim shim;
         private volatile Program program;
+        private volatile String config;
+        private boolean moved;
 
-        private Front(int at) throws IOException {
+        private Front(int at) throws IOException, InterruptedException {
             this.at = at;
+            this.shim = table.entries().stream().anyMatch(e -> e.what().ofShim()) ? new FaultShim() : null;
             this.listen = Program.freeAddress();
             this.journal = new JournalStandIn();
             InetAddress from = Relay.loopback(OWN, 0, at);
@@ -74,9 +89,10 @@
             clients = relay.door(TO_FRONTS, 0, at, from,
                     () -> new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
             String address = journal.address();
-            journals = relay.door(TO_JOURNALS, 0, at, from, () -> new InetSocketAddress(
-                    InetAddress.getLoopbackAddress(), Integer.parseInt(address.substring(address.indexOf(':')
-                            + 1))));
+            InetSocketAddress service = new InetSocketAddress(InetAddress.getLoopbackAddress(),
+                    Integer.parseInt(address.substring(address.indexOf(':') + 1)));
+            journals = relay.door(TO_JOURNALS, 0, at, from, () -> service);
+            otherJournals = relay.door(TO_JOURNALS, 1, at, from, () -> service);
             for (int k = 0; k < table.engines(); k++) {
                 Place place = places.get(k);
                 engines[k] = relay.door(TO_ENGINES, at, k, from, () -> place.host.address());
@@ -93,11 +109,20 @@
             String[] known = places.stream().map(place -> listing(place.host, place.health))
                     .toArray(String[]::new);
             int position = journal.position();
-            program = new Program(Terms.config(table, at, listen, journals.address(), position,
-                    JournalStandIn.event(position, true, known)));
+            config = Terms.config(table, at, listen, journals.address(), position,
+                    JournalStandIn.event(position, true, known));
+            moved = false;
+            program = shim == null ? new Program(config, home) : Program.withShim(config, shim, home);
             clients.open();
         }
 
+        /** A new configuration: discovery is at its other address. */
+        private void reload() throws IOException, InterruptedException {
+            moved = !moved;
+            program.reload(moved ? config.replace("\"" + journals.address() + "\"", "\"" + otherJournals.address()
+                    + "\"") : config);
+        }
+
         private Relay.Door door(Link link, int engine) {
             return link == Link.CLIENT ? clients : link == Link.JOURNAL ? journals : engines[engine];
         }
@@ -110,12 +135,14 @@
         private int births;
     }
 
-    private Fleet(Timetable table, long seed) throws IOException {
+    private Fleet(Timetable table, long seed, Path home, Rules.Slack slack) throws IOException,
+            InterruptedException {
         this.table = table;
         this.seed = seed;
+        this.home = home;
         this.chance = new SplittableRandom(seed);
         this.relay = new Relay(seed);
-        this.rules = new Rules(table, seed);
+        this.rules = new Rules(table, seed, slack);
         for (int k = 0; k < table.engines(); k++) {
             Place place = new Place();
             places.add(place);
@@ -132,7 +159,12 @@
         Rig.require(table.fronts() <= MOST_FRONTS
                 && table.entries().stream().noneMatch(e -> e.what().ofScale()),
                 file + " is for bench/scale");
-        try (Fleet fleet = new Fleet(table, seed)) {
+        return play(table, seed, Path.of("."), Rules.Slack.LOADED_MACHINE);
+    }
+
+    /** The same with the build that stands in {@code home}, and with other limits of the checks. */
+    static Tally play(Timetable table, long seed, Path home, Rules.Slack slack) throws Exception {
+        try (Fleet fleet = new Fleet(table, seed, home, slack)) {
             return fleet.run();
         }
     }
@@ -166,6 +198,8 @@
         clock.scheduleAtFixedRate(guarded(this::step), STEP, STEP, TimeUnit.MILLISECONDS);
         later.scheduleAtFixedRate(guarded(() -> fronts.forEach(f -> f.journal.comment())), 0, 500,
                 TimeUnit.MILLISECONDS);
+        later.scheduleAtFixedRate(guarded(() -> misbehaves.forEach(crowd::misbehave)), 100, 100,
+                TimeUnit.MILLISECONDS);
         for (Entry entry : table.entries()) {
             hitFronts.put(entry, table.frontsOf(entry, seed));
             hitEngines.put(entry, table.enginesOf(entry, seed));
@@ -185,7 +219,7 @@
                     "front " + front.at + " ended by itself (" + table + ", seed " + seed + "): "
                             + front.program.log);
             for (String defect : List.of("a decision failed", "an action failed", "a timer failed",
-                    "closed, fault")) {
+                    "closed, fault", "rule would be broken")) {
                 Rig.require(!front.program.logged(defect), defect + " in front " + front.at + " (" + table
                         + ", seed "
                         + seed + "): " + front.program.log);
@@ -193,6 +227,7 @@
         }
         List<EngineHost> all = List.copyOf(hosts);
         List<EngineHost.Attempt> attempts = all.stream().flatMap(h -> h.attempts().stream()).toList();
+        rules.rigWasLate(lateMs);
         Tally tally = rules.check(crowd.tries(), attempts, all);
         double[] threads = IntStream.range(0, table.engines()).mapToDouble(k -> all.stream().filter(h ->
                 h.at == k)
@@ -232,6 +267,10 @@
     }
 
     private void step() {
+        long now = System.nanoTime();
+        // A pause of this process itself delays all that engines and clients do, and what they see.
+        lateMs = lastStep == 0 ? 0 : Math.max(lateMs, (now - lastStep) / MS - STEP);
+        lastStep = now;
         places.forEach(place -> place.host.step(STEP * 10));
         mostConnections = Math.max(mostConnections, IntStream.range(0, table.engines()).map(k -> fronts
                 .stream()
@@ -313,16 +352,50 @@
                 }
                 case LEAVE -> {
                     front.program.signal("-TERM");
-                    later.schedule(guarded(() -> front.clients.refuse()), 300, TimeUnit.MILLISECONDS);
+                    later.schedule(guarded(() -> {
+                        front.clients.refuse();
+                        crowd.leaves(f, true);
+                    }), 300, TimeUnit.MILLISECONDS);
                 }
                 case STOP -> {
                     rules.stops(f);
                     front.program.signal("-STOP");
                 }
-                default -> {
-                    // asked for when it matters
+                case RELOAD -> {
+                    for (int k = 0; k < entry.times(); k++) {
+                        later.schedule(guarded(front::reload), (long) (entry.span() / 10 * k / entry.times()),
+                                TimeUnit.MILLISECONDS);
+                    }
+                }
+                default -> bends(entry, front, true);
+            }
+        }
+    }
+
+    /** Faults of system calls, and clients that misbehave. */
+    private void bends(Entry entry, Front front, boolean on) {
+        switch (entry.what()) {
+            case ACCEPT_FAILS -> front.shim.set(Fault.ACCEPT_EVERY, on ? (long) entry.times() : 0);
+            case CONNECT_FAILS -> {
+                front.shim.set(Fault.CONNECT_EVERY, on ? (long) entry.times() : 0);
+                front.shim.set(Fault.SOCKET_EVERY, on ? 2 * (long) entry.times() : 0);
+            }
+            case INTERRUPTS -> {
+                front.shim.set(Fault.READ_EVERY, on ? 3 : 0);
+                front.shim.set(Fault.WRITE_EVERY, on ? 3 : 0);
+                front.shim.set(Fault.SHORT_BYTES, on ? SHORT_BYTES : 0);
+            }
+            case CLOCK_FORWARD -> front.shim.set(Fault.CLOCK_STEP_MS, on ? entry.by() / 10 : 0);
+            case CLOCK_BACK -> front.shim.set(Fault.CLOCK_STEP_MS, on ? -entry.by() / 10 : 0);
+            case GIVE_UP, SLOW_CLIENTS, BAD_CLIENTS, PIPELINE -> {
+                crowd.manner(entry.what(), on);
+                if (on) {
+                    misbehaves.add(front.at);
                 }
             }
+            default -> {
+                // asked for when it matters, or over by its time
+            }
         }
     }
 
@@ -339,18 +412,20 @@
             Front front = fronts.get(f);
             switch (entry.what()) {
                 case KILL, LEAVE -> {
+                    if (entry.what() == What.LEAVE) {
+                        rules.left(f, !front.program.process.isAlive());
+                    }
                     rules.kills(f);
                     front.program.close();
                     front.start();
+                    crowd.leaves(f, false);
                     rules.starts(f);
                 }
                 case STOP -> {
                     front.program.signal("-CONT");
                     rules.goesOn(f);
                 }
-                default -> {
-                    // over by its time
-                }
+                default -> bends(entry, front, false);
             }
         }
     }
@@ -366,6 +441,17 @@
                 case LIE -> place.host.lies(on);
                 case STUCK -> place.host.stuck(on);
                 case MUTE -> place.host.mute(on);
+                case HANG -> place.host.hangs(on);
+                case FORGET -> place.host.forgets(on);
+                case COPIES -> place.host.copies(on);
+                case SPOIL -> place.host.spoils(on);
+                case DRAIN -> {
+                    // One that was replaced meanwhile is another's.
+                    if (on == place.health.equals("ready")) {
+                        place.health = on ? "draining" : "ready";
+                        tell(place.host, place.health);
+                    }
+                }
                 default -> {
                     if (on) {
                         later.schedule(guarded(() -> replace(e)), entry.span() / 10 * k++
--- a/src/rig/java/reedspring/rig/fleet/Rules.java
+++ b/src/rig/java/reedspring/rig/fleet/Rules.java
@@ -21,18 +21,51 @@
  */
 final class Rules {
     private static final long MS = 1_000_000;
-    /** The protocol's 50 ms, and what a machine full of processes may add. */
-    private static final long ANSWER_SLACK = 1_000 * MS;
-    private static final long DRAIN_SLACK = 250 * MS;
     private static final long OVERLAP_SLACK = 20 * MS;
+    /** After SIGTERM, until which requests may still come on open connections. */
+    private static final long ASKED_WHILE_LEAVING = 500 * MS;
+    /** A rig that is late by more judges nobody. */
+    private static final long MOST_RIG_LATE_MS = 100;
+
+    /**
+     * What each check allows past its moment, in milliseconds.
+     *
+     * @param answer an answer after its client's time
+     * @param drain a submission past the grace after a drain notice
+     * @param gone an attempt after its client closed or cancelled
+     * @param deadline the deadline passed to an engine, over what the client has left
+     * @param leavingExcused whether a front that is being ended excuses what it held
+     */
+    record Slack(long answer, long drain, long gone, long deadline, boolean leavingExcused) {
+        /** The limits of the operators' pages; what this process was late itself comes on top. */
+        static final Slack TERMS = new Slack(500, 50, 100, 150, false);
+        /** For runs beside others on a machine full of processes, which is late by itself. */
+        static final Slack LOADED_MACHINE = new Slack(1_000, 250, 500, 500, true);
+    }
+
+    /** The rig itself was late, so that nothing can be said of the fronts. */
+    static final class VoidRunException extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        VoidRunException(String message) {
+            super(message);
+        }
+    }
     /** What the journal has to tell counts as told by then, whether or not it arrived. */
     private static final long TOLD_AT_LAST = 7_000 * MS;
 
     private final Timetable table;
     private final long seed;
+    private final Slack slack;
     private long startedAt;
+    private long rigLate;
     private final List<Span> excuses = new ArrayList<>();
-    private final Map<String, Long> toldOff = new HashMap<>();
+    /** When each front was told that an engine drains or has gone, and that it is ready again. */
+    private final Map<String, List<Drained>> drained = new HashMap<>();
+    private final List<Span> clientFaults = new ArrayList<>();
+    /** In which a front that is being ended is asked nothing more by the layer before it. */
+    private final List<Span> askedTooLate = new ArrayList<>();
+    private String leftLate;
     private final Map<String, Long> toldOn = new HashMap<>();
     private final Map<Integer, Long> downSince = new HashMap<>();
     private final Map<Integer, Long> startedAgain = new HashMap<>();
@@ -47,9 +80,26 @@
         }
     }
 
-    Rules(Timetable table, long seed) {
+    /** {@code to} is the end of time while the engine is not ready. */
+    private record Drained(long from, long to) {
+    }
+
+    Rules(Timetable table, long seed, Slack slack) {
         this.table = table;
         this.seed = seed;
+        this.slack = slack;
+    }
+
+    /** For how long this process stood still at the most, in milliseconds. */
+    synchronized void rigWasLate(long ms) {
+        rigLate = ms;
+    }
+
+    /** A front that was told to end before SIGKILL has, or has not. */
+    synchronized void left(int front, boolean ended) {
+        if (!ended && stops.stream().noneMatch(s -> s.front == front)) {
+            leftLate = "front " + front + " had not ended when SIGKILL came";
+        }
     }
 
     synchronized void starts(long at) {
@@ -62,6 +112,7 @@
         for (int f : fronts) {
             if (entry.what().ofLinks() && entry.link() == Link.CLIENT) {
                 excuses.add(new Span(f, now - 50 * MS, to));
+                clientFaults.add(new Span(f, now - 50 * MS, to + entry.by() * 200_000));
             } else if (entry.what().ofLinks() && entry.link() == Link.JOURNAL) {
                 journalFaults.add(new Span(f, now - 50 * MS, to + 1_000 * MS));
             } else if (entry.what().ofLinks()) {
@@ -69,8 +120,10 @@
                 delays.add(new Span(f, now - 50 * MS, to + (entry.what() == What.DELAY ? entry.by() * 200_000
                         : 0)
                         + 100 * MS));
-            } else if (entry.what() == What.LEAVE) {
+            } else if (entry.what() == What.LEAVE && slack.leavingExcused()) {
                 excuses.add(new Span(f, now, to));
+            } else if (entry.what() == What.LEAVE) {
+                askedTooLate.add(new Span(f, now + ASKED_WHILE_LEAVING, to));
             }
         }
     }
@@ -98,18 +151,33 @@
     }
 
     synchronized void told(int front, String engine, String health) {
+        String who = front + "/" + engine;
+        long now = System.nanoTime();
+        List<Drained> spans = drained.computeIfAbsent(who, k -> new ArrayList<>());
+        Drained last = spans.isEmpty() ? null : spans.get(spans.size() - 1);
+        boolean off = last != null && last.to == Long.MAX_VALUE;
         if (health.equals("ready")) {
-            toldOn.putIfAbsent(front + "/" + engine, System.nanoTime());
-        } else {
-            toldOff.putIfAbsent(front + "/" + engine, System.nanoTime());
+            toldOn.putIfAbsent(who, now);
+            if (off) {
+                spans.set(spans.size() - 1, new Drained(last.from, now));
+            }
+        } else if (!off) {
+            spans.add(new Drained(now, Long.MAX_VALUE));
         }
     }
 
     /** All rules over a whole run; what breaks one is thrown with its place. */
     synchronized Tally check(List<Crowd.Try> tries, List<EngineHost.Attempt> attempts,
             List<EngineHost> hosts) {
+        if (rigLate > MOST_RIG_LATE_MS) {
+            throw new VoidRunException("the rig stood still for " + rigLate + " ms");
+        }
+        Rig.require(leftLate == null, leftLate + " (" + table + ", seed " + seed + ")");
         Map<String, List<EngineHost.Attempt>> byTrace = attempts.stream()
                 .collect(Collectors.groupingBy(a -> a.trace));
+        for (Crowd.Try one : tries) {
+            byTrace.getOrDefault(one.trace, List.of()).forEach(attempt -> begins(one, attempt));
+        }
         int excused = answers(tries, byTrace);
         tries.stream().filter(one -> one.ask.group() == Terms.CHANGE)
                 .forEach(one -> once(one, byTrace.getOrDefault(one.trace, List.of())));
@@ -126,15 +194,22 @@
             require(!one.came.contains("spoilt"), one, "an answer that no engine made");
             require(!one.came.contains("served") || byTrace.containsKey(one.trace), one,
                     "served by no engine");
-            long due = one.ask.first() + Terms.leavesMs(table, one.ask.group()) * MS;
-            long latest = due + ANSWER_SLACK;
+            long due = one.patienceMs > 0 ? one.sentAt + one.patienceMs * MS
+                    : one.ask.first() + Terms.leavesMs(table, one.ask.group()) * MS;
+            long within = (slack.answer() + rigLate) * MS;
+            long latest = due + within;
             for (Span stop : stops) {
-                if (stop.meets(one.front, due - ANSWER_SLACK, latest)) {
-                    latest = Math.max(latest, stop.to + ANSWER_SLACK);
+                if (stop.meets(one.front, due - within, latest)) {
+                    latest = Math.max(latest, stop.to + within);
                 }
             }
             long last = latest;
-            boolean excuse = !one.sent || excuses.stream().anyMatch(s -> s.meets(one.front, one.sentAt, last))
+            // What was lost was lost at a moment; what never came may have met its trouble at any.
+            long from = one.connectionLost ? one.lostAt : one.sentAt;
+            long to = one.connectionLost ? one.lostAt : last;
+            boolean excuse = !one.sent || one.goneAt != 0
+                    || askedTooLate.stream().anyMatch(s -> s.meets(one.front, one.sentAt, one.sentAt))
+                    || excuses.stream().anyMatch(s -> s.meets(one.front, from, to))
                     || downSince.containsKey(one.front);
             excused += one.came.isEmpty() ? 1 : 0;
             require(excuse || !one.came.isEmpty(), one, one.connectionLost
@@ -146,6 +221,19 @@
         return excused;
     }
 
+    /** An attempt begins for a client that is there, and is told no more time than its client has left. */
+    private void begins(Crowd.Try one, EngineHost.Attempt attempt) {
+        boolean slowLink = delays.stream().anyMatch(s -> s.meets(attempt.front, one.sentAt, attempt.at));
+        boolean unheard = clientFaults.stream().anyMatch(s -> s.meets(one.front, one.goneAt, attempt.at));
+        long late = (attempt.at - one.goneAt) / MS;
+        require(one.goneAt == 0 || slowLink || unheard || late <= slack.gone() + rigLate, attempt,
+                "begun " + late + " ms after its client had gone");
+        long left = one.patienceMs - (attempt.at - one.sentAt) / MS;
+        require(one.patienceMs == 0 || attempt.ttlMs < 0 || slowLink
+                || attempt.ttlMs <= left + slack.deadline() + rigLate, attempt,
+                "told to take " + attempt.ttlMs + " ms, where its client has " + left + " left");
+    }
+
     /** What must not run twice: no second run, and no word that a retry is safe once it may have run. */
     private void once(Crowd.Try one, List<EngineHost.Attempt> all) {
         long ran = all.stream().filter(attempt -> !attempt.end.equals("full")).count();
@@ -167,17 +255,16 @@
     }
 
     private void drains(EngineHost.Attempt attempt) {
-        Long told = toldOff.get(attempt.front + "/" + attempt.engine);
-        if (told == null) {
-            return;
-        }
-        long latest = told + Terms.DRAIN_MS * MS + DRAIN_SLACK;
-        if (journalFaults.stream().anyMatch(s -> s.meets(attempt.front, told, attempt.at))) {
-            latest = told + TOLD_AT_LAST + DRAIN_SLACK;
+        for (Drained span : drained.getOrDefault(attempt.front + "/" + attempt.engine, List.of())) {
+            long told = span.from;
+            long latest = told + (Terms.DRAIN_MS + slack.drain() + rigLate) * MS;
+            if (journalFaults.stream().anyMatch(s -> s.meets(attempt.front, told, attempt.at))) {
+                latest = told + TOLD_AT_LAST + (slack.drain() + rigLate) * MS;
+            }
+            boolean slowLink = delays.stream().anyMatch(s -> s.meets(attempt.front, told, attempt.at));
+            require(attempt.at <= latest || attempt.at >= span.to || slowLink, attempt, "sent "
+                    + (attempt.at - told) / MS + " ms after its engine was told to drain");
         }
-        boolean slowLink = delays.stream().anyMatch(s -> s.meets(attempt.front, told, attempt.at));
-        require(attempt.at <= latest || slowLink, attempt, "sent " + (attempt.at - told) / MS
-                + " ms after its engine was told to drain");
     }
 
     /**
--- a/src/rig/java/reedspring/rig/fleet/Timetable.java
+++ b/src/rig/java/reedspring/rig/fleet/Timetable.java
@@ -81,8 +81,38 @@
         STUCK,
         /** Engines say nothing of their load. */
         MUTE,
+        /** Engines stand still and then go on: what they would have said in between comes then. */
+        HANG,
+        /** Engines close connections that rest, some behind half an answer. */
+        FORGET,
+        /** Engines send each answer twice. */
+        COPIES,
+        /** One answer in five is malformed, or begins and does not end. */
+        SPOIL,
+        /** Engines are listed as draining, and as ready again when the time is over. */
+        DRAIN,
         /** Engines are listed as draining, end what they hold, and go; a new one comes for each, cold. */
         REPLACE,
+        /** One in {@code times} of the fronts' accepts fails, in all the ways that are documented. */
+        ACCEPT_FAILS,
+        /** The same of connects and new sockets. */
+        CONNECT_FAILS,
+        /** Every third read and write of the fronts is interrupted, and all move a few hundred bytes only. */
+        INTERRUPTS,
+        /** The fronts' wall clock is ahead by {@code by} for the time. */
+        CLOCK_FORWARD,
+        /** The same behind. */
+        CLOCK_BACK,
+        /** {@code times} new configurations over the span, each with discovery at another address. */
+        RELOAD,
+        /** Three clients in ten take their query back, or close their connection, soon after asking. */
+        GIVE_UP,
+        /** One client in six writes its query in pieces over a second or two. */
+        SLOW_CLIENTS,
+        /** Connections with noise, half messages, silence, or many queries and a close at once. */
+        BAD_CLIENTS,
+        /** Connections with thirty queries at once. */
+        PIPELINE,
         /** Lists reach these fronts late. */
         LATE_LIST,
         /** More queries. */
@@ -108,6 +138,11 @@
             return ordinal() <= THROTTLE.ordinal();
         }
 
+        /** Done by a library that is loaded into the fronts. */
+        boolean ofShim() {
+            return ordinal() >= ACCEPT_FAILS.ordinal() && ordinal() <= CLOCK_BACK.ordinal();
+        }
+
         boolean ofEngines() {
             return ordinal() >= FAIL.ordinal() && ordinal() <= REPLACE.ordinal();
         }
@@ -219,6 +254,12 @@
                 + "|[fe][0-9]{1,5}( [fe][0-9]{1,5})*");
     }
 
+    /** The same with other things that happen. */
+    Timetable with(String otherName, List<Entry> other) {
+        return new Timetable(otherName, fronts, engines, sites, cores, memoryMb, length, settle, perSecond, mix,
+                busyFronts, busyTimes, sessions, patience, coldMultiple, List.copyOf(other));
+    }
+
     /** A front or engine's site. */
     public char site(int index) {
         return (char) ('a' + index % sites);
--- a/src/test/java/reedspring/rig/fleet/RulesTest.java
+++ b/src/test/java/reedspring/rig/fleet/RulesTest.java
@@ -17,13 +17,13 @@
 class RulesTest {
     private static final long MS = 1_000_000;
     private final Timetable table;
-    private final Rules rules;
+    private Rules rules;
     private final List<Crowd.Try> tries = new ArrayList<>();
     private final List<EngineHost.Attempt> attempts = new ArrayList<>();
 
     RulesTest() throws Exception {
         table = Timetable.read(Path.of("bench/timetables/calm.ini"));
-        rules = new Rules(table, 1);
+        rules = new Rules(table, 1, Rules.Slack.LOADED_MACHINE);
         rules.starts(System.nanoTime());
     }
 
@@ -131,6 +131,88 @@
         broken("after its engine was told to drain");
     }
 
+    // ---- the limits of the operators' pages: just inside and just outside
+
+    private Crowd.Try askedByTerms(int patienceMs, String... came) {
+        rules = new Rules(table, 1, Rules.Slack.TERMS);
+        rules.starts(System.nanoTime());
+        tries.clear();
+        attempts.clear();
+        Crowd.Try one = asked(0, came);
+        one.patienceMs = patienceMs;
+        return one;
+    }
+
+    @Example
+    void anAnswerHalfASecondPastItsTime() {
+        askedByTerms(1_000, "Shed").cameAt += 1_450 * MS;
+        check();
+        askedByTerms(1_000, "Shed").cameAt += 1_550 * MS;
+        broken("past its time");
+    }
+
+    @Example
+    void anAttemptForAClientThatHasGone() {
+        Crowd.Try one = askedByTerms(1_000);
+        one.goneAt = one.sentAt + 50 * MS;
+        sent(one, "e0", 140, "data");
+        check();
+        one = askedByTerms(1_000);
+        one.goneAt = one.sentAt + 50 * MS;
+        sent(one, "e0", 165, "data");
+        broken("after its client had gone");
+    }
+
+    private EngineHost.Attempt told(Crowd.Try one, int ttlMs, long afterMs) {
+        EngineHost.Attempt attempt = new EngineHost.Attempt(new EngineStandIn.Command(List.of("fetch", one.trace,
+                "lane=lookup,ttl=" + ttlMs, ""), null, one.sentAt + afterMs * MS), 0, "e0", 1_000);
+        attempt.ends("data");
+        attempts.add(attempt);
+        return attempt;
+    }
+
+    @Example
+    void aDeadlineOverWhatTheClientHasLeft() {
+        told(askedByTerms(1_000, "served"), 740, 400);
+        check();
+        told(askedByTerms(1_000, "served"), 760, 400);
+        broken("told to take 760 ms, where its client has 600 left");
+    }
+
+    @Example
+    void workForAnEngineThatDrainsAndThatIsReadyAgain() {
+        Crowd.Try one = askedByTerms(1_000, "served");
+        rules.told(0, "e0", "draining");
+        sent(one, "e0", 540, "data");
+        check();
+        attempts.clear();
+        sent(one, "e0", 560, "data");
+        broken("after its engine was told to drain");
+        rules.told(0, "e0", "ready");
+        check();
+    }
+
+    @Example
+    void aConnectionThatEndsUnanswered() {
+        Crowd.Try one = askedByTerms(1_000);
+        one.isLost();
+        broken("lost unanswered");
+        one.goneAt = one.sentAt;
+        assertEquals(1, check().excused());
+    }
+
+    @Example
+    void aFrontThatDoesNotEndAndARigThatWasLate() {
+        askedByTerms(1_000, "Shed");
+        rules.left(0, true);
+        check();
+        rules.left(3, false);
+        broken("front 3 had not ended");
+        askedByTerms(1_000, "Shed");
+        rules.rigWasLate(101);
+        assertThrows(Rules.VoidRunException.class, this::check);
+    }
+
     /** What a killed front held is excused; what another holds is not. */
     @Example
     void onlyTheDeadAreExcused() {
