--- a/src/main/java/reedspring/net/Startup.java
+++ b/src/main/java/reedspring/net/Startup.java
@@ -114,7 +114,7 @@
             Orders orders = Orders.read(path);
             Journal journal = loop.submit(() -> raise(loop, turns, orders, additions, raised)).get();
             Front front = raised.get();
-            reloads.by(() -> reload(loop, front, journal, path));
+            reloads.by(() -> reloadUntilRead(loop, front, journal, path));
             ChannelFuture bound = listen(() -> server(group, front, orders.limits()), orders.listen());
             if (!bound.isSuccess()) {
                 System.err.println("reedspring: listen: " + bound.cause().getMessage());
@@ -203,14 +203,10 @@
         return journal;
     }
 
-    /**
-     * Takes over the journal service's address, the one thing that can change under a front that serves: the
-     * rest is what its decisions and limits were made from. A file that can't be used changes nothing.
-     */
-    static void reload(EventLoop loop, Front front, Journal journal, String path) {
-        // A file that is away or half written for a moment is read again: no further signal may come for it.
+    /** A file that is away or half written for a moment is read again: no further signal may come for it. */
+    private static void reloadUntilRead(EventLoop loop, Front front, Journal journal, String path) {
         long rest = RELOAD_FIRST_REST_MS;
-        for (int tries = 1; !reloaded(loop, front, journal, path) && tries < RELOAD_TRIES; tries++) {
+        for (int tries = 1; !reload(loop, front, journal, path) && tries < RELOAD_TRIES; tries++) {
             try {
                 Thread.sleep(rest);
             } catch (InterruptedException e) {
@@ -221,8 +217,13 @@
         }
     }
 
-    /** False if the file could not be used. */
-    private static boolean reloaded(EventLoop loop, Front front, Journal journal, String path) {
+    /**
+     * Takes over the journal service's address, the one thing that can change under a front that serves: the
+     * rest is what its decisions and limits were made from. A file that can't be used changes nothing.
+     *
+     * @return whether the file could be used
+     */
+    static boolean reload(EventLoop loop, Front front, Journal journal, String path) {
         try {
             InetSocketAddress service = Orders.read(path).journal();
             loop.execute(() -> {
