--- a/src/rig/java/reedspring/rig/FaultShim.java
+++ b/src/rig/java/reedspring/rig/FaultShim.java
@@ -17,7 +17,10 @@
 public final class FaultShim implements Closeable {
     /** The faults, in the order of the library's fields. A value of 0 switches one off. */
     public enum Fault {
-        /** Every n-th accept fails: ENFILE, ENOBUFS, EMFILE, ECONNABORTED, EINTR, ENOMEM and others in turn. */
+        /**
+         * Every n-th accept fails: ENFILE, ENOBUFS, EMFILE, ECONNABORTED, EINTR, ENOMEM and others in
+         * turn.
+         */
         ACCEPT_EVERY,
         /** Every n-th socket fails: EMFILE, ENFILE, ENOBUFS, ENOMEM in turn. */
         SOCKET_EVERY,
@@ -53,7 +56,8 @@
         build();
         file = Files.createTempFile("faultshim", ".control");
         int size = Fault.values().length * Long.BYTES;
-        try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ, StandardOpenOption.WRITE)) {
+        try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ,
+                StandardOpenOption.WRITE)) {
             fields = channel.map(FileChannel.MapMode.READ_WRITE, 0, size);
         }
         fields.order(ByteOrder.nativeOrder());
--- a/src/rig/java/reedspring/rig/Program.java
+++ b/src/rig/java/reedspring/rig/Program.java
@@ -55,7 +55,8 @@
 
     /** The same, of another checkout that is built. */
     public static Program withShim(String config, FaultShim shim, Path home) throws IOException {
-        return new Program(listenOf(config), written(Files.createTempFile("reedspring", ".json"), config), home,
+        return new Program(listenOf(config), written(Files.createTempFile("reedspring", ".json"), config),
+                home,
                 List.of("/bin/sh", "-c", run(home)), shim::loadInto);
     }
 
--- a/src/rig/java/reedspring/rig/fleet/Crowd.java
+++ b/src/rig/java/reedspring/rig/fleet/Crowd.java
@@ -144,12 +144,14 @@
                 }
             }
             one.sentAt = System.nanoTime();
-            to.send(slowly ? Arrays.copyOfRange(query, (SLOW_PIECES - 1) * query.length / SLOW_PIECES, query.length)
+            to.send(slowly ? Arrays.copyOfRange(query, (SLOW_PIECES - 1) * query.length / SLOW_PIECES,
+                    query.length)
                     : query);
             one.sent = true;
         }
 
-        private synchronized void givesUp(Client mine, Map<Long, Try> others, Try one, int id, boolean closes) {
+        private synchronized void givesUp(Client mine, Map<Long, Try> others, Try one, int id,
+                boolean closes) {
             try {
                 synchronized (Crowd.this) {
                     long now = System.nanoTime();
@@ -231,9 +233,11 @@
         Map<String, Object> fields = Client.fields(one.trace, one.patienceMs);
         fields.put("weight", String.format(Locale.ROOT, "%.2f", one.ask.workMs));
         fields.put("need_mb", String.format(Locale.ROOT, "%.0f", one.ask.needMb));
-        String statement = String.format(Locale.ROOT, "select work=%.2f need=%.1f threads=%d from sales_%d.orders",
+        String statement = String.format(Locale.ROOT,
+                "select work=%.2f need=%.1f threads=%d from sales_%d.orders",
                 one.ask.workMs, one.ask.needMb, Terms.THREADS[one.ask.group], id % 9);
-        return Client.pack(List.of(0, id, Terms.GROUPS[one.ask.group], List.of(fields, statement.getBytes())));
+        return Client.pack(List.of(0, id, Terms.GROUPS[one.ask.group], List.of(fields,
+                statement.getBytes())));
     }
 
     private synchronized double draw() {
--- a/src/rig/java/reedspring/rig/fleet/Fleet.java
+++ b/src/rig/java/reedspring/rig/fleet/Fleet.java
@@ -116,10 +116,22 @@
             clients.open();
         }
 
+        /** Not to one that has ended by then, as it was told to. */
+        private void signal(String name) throws IOException, InterruptedException {
+            if (program.process.isAlive()) {
+                program.signal(name);
+            }
+        }
+
         /** A new configuration: discovery is at its other address. */
         private void reload() throws IOException, InterruptedException {
+            if (!program.process.isAlive()) {
+                // It has been told to end, and is started again with the first address.
+                return;
+            }
             moved = !moved;
-            program.reload(moved ? config.replace("\"" + journals.address() + "\"", "\"" + otherJournals.address()
+            program.reload(moved ? config.replace("\"" + journals.address() + "\"", "\""
+                    + otherJournals.address()
                     + "\"") : config);
         }
 
@@ -351,7 +363,7 @@
                     front.clients.reset(false);
                 }
                 case LEAVE -> {
-                    front.program.signal("-TERM");
+                    front.signal("-TERM");
                     later.schedule(guarded(() -> {
                         front.clients.refuse();
                         crowd.leaves(f, true);
@@ -359,7 +371,7 @@
                 }
                 case STOP -> {
                     rules.stops(f);
-                    front.program.signal("-STOP");
+                    front.signal("-STOP");
                 }
                 case RELOAD -> {
                     for (int k = 0; k < entry.times(); k++) {
@@ -422,7 +434,7 @@
                     rules.starts(f);
                 }
                 case STOP -> {
-                    front.program.signal("-CONT");
+                    front.signal("-CONT");
                     rules.goesOn(f);
                 }
                 default -> bends(entry, front, false);
--- a/src/rig/java/reedspring/rig/fleet/Mutants.java
+++ b/src/rig/java/reedspring/rig/fleet/Mutants.java
@@ -26,8 +26,9 @@
 import reedspring.rig.fleet.Timetable.What;
 
 /**
- * Shows that the soak's checks see faults: builds of the program with one fault each put in on purpose, played
- * under troubles that bring it out. Each has to be found, for the reason that it breaks; bench/mutants.
+ * Shows that the soak's checks see faults: builds of the program with one fault each put in on purpose,
+ * played under troubles that bring it out. Each has to be found, for the reason that it breaks;
+ * bench/mutants.
  */
 public final class Mutants {
     private static final Path SOURCES = Path.of("src/main/java/reedspring");
@@ -62,12 +63,14 @@
 
     private static Timetable day(String name, Entry... troubles) {
         Mix mix = new Mix(8, 4, new double[] {80, 500, 60}, new double[] {60, 200, 60});
-        return new Timetable("mutant " + name, 4, 5, 1, new double[] {8}, 4_096, 8 * SECOND, 6 * SECOND, 70, mix,
+        return new Timetable("mutant " + name, 4, 5, 1, new double[] {8}, 4_096, 8 * SECOND, 6 * SECOND, 70,
+                mix,
                 0, 1, 200, 3, 1, List.of(troubles));
     }
 
     private static Entry trouble(What what, double atSeconds, double seconds, double times) {
-        return new Entry(what.name(), (long) (atSeconds * SECOND), (long) (seconds * SECOND), what, Link.ENGINE,
+        return new Entry(what.name(), (long) (atSeconds * SECOND), (long) (seconds * SECOND), what,
+                Link.ENGINE,
                 "all", "60%", 3_600 * SECOND, times, 1 << 20);
     }
 
@@ -88,13 +91,15 @@
                 new Mutant("drains-unheard", List.of(
                         new Change("Control.java", "            if (!up[k] || group.zones()",
                                 "            if (fleet.get(k).gone || group.zones()"),
-                        new Change("net/Engines.java", "link.up = host.listing().health() == Event.Health.UP;",
+                        new Change("net/Engines.java",
+                                "link.up = host.listing().health() == Event.Health.UP;",
                                 "link.up = host.listing().health() != Event.Health.GONE;")),
                         day("drains-unheard", trouble(What.DRAIN, 2, 4, 1)), "told to drain"),
                 new Mutant("repeats-anything", "core/policy/RepeatPolicy.java",
                         "return !mayHaveRun || group.effect() != Effect.MUTATING;",
                         "return group != null || mayHaveRun;", day("repeats-anything",
-                                trouble(What.RESET, 3, 1, 1), trouble(What.FAIL, 2, 3, 1)), "a change was run"),
+                                trouble(What.RESET, 3, 1, 1), trouble(What.FAIL, 2, 3, 1)),
+                                        "a change was run"),
                 new Mutant("defers-anything", "core/policy/RepeatPolicy.java",
                         "return !mayHaveRun || group.effect() == Effect.READ_ONLY",
                         "return group != null || group.effect() == Effect.READ_ONLY", day("defers-anything",
@@ -108,7 +113,8 @@
                                 + "            return true;\n        }\n        if (now - bornAt",
                         coldDay("cold-unheeded"), "cold engine pushed over"),
                 new Mutant("wall-clock-believed", List.of(
-                        new Change("net/Clock.java", "EngineStartTime.estimate(ms * 10, now(), unix.getAsLong())",
+                        new Change("net/Clock.java",
+                                "EngineStartTime.estimate(ms * 10, now(), unix.getAsLong())",
                                 "EngineStartTime.estimate(0, 0, 0) + now() + ms * 10 - unix.getAsLong()"),
                         new Change("net/Journal.java", "EngineStartTime.ofNewEngine(estimate, lastHeard)",
                                 "EngineStartTime.ofNewEngine(estimate, 0)")),
@@ -116,7 +122,8 @@
                 new Mutant("answers-late", "net/Front.java", "arrivedAt + Times.nearest(patience)),",
                         "arrivedAt + Times.nearest(patience) + 20_000),", day("answers-late",
                                 trouble(What.SILENT, 2, 4, 1)), "past its time|told to take"),
-                new Mutant("answers-twice", "net/Front.java", "            q.client.rows(q, List.of(s.pages));\n",
+                new Mutant("answers-twice", "net/Front.java",
+                        "            q.client.rows(q, List.of(s.pages));\n",
                         "            q.client.rows(q, List.of(s.pages));\n"
                                 + "            q.client.rows(q, List.of(s.pages));\n",
                         day("answers-twice"), "answered twice"),
@@ -125,9 +132,10 @@
                         "        channel.write(message(q.statement.retainedDuplicate(), \"fetch\", q.trace,\n"
                                 + "                \"lane=\" + q.group + \",ttl=\" + left));\n",
                         day("sends-twice"), "two submissions at once|a change was run"),
-                new Mutant("leaves-at-once", "net/Front.java", "        leaveLater(now, left);\n    }\n\n",
-                        "        left.run();\n    }\n\n", day("leaves-at-once",
-                                trouble(What.LEAVE, 2, 3.7, 1), trouble(What.SLOW, 1, 6, 4)), "lost unanswered"));
+                new Mutant("leaves-at-once", "net/Front.java", "        new Shutdown(this, limits, roster, now).begin(left);\n",
+                        "        left.run();\n", day("leaves-at-once",
+                                trouble(What.LEAVE, 2, 3.7, 1), trouble(What.SLOW, 1, 6, 4)),
+                                        "lost unanswered"));
     }
 
     private static Timetable coldDay(String name) {
@@ -149,7 +157,8 @@
         Files.deleteIfExists(library);
         Files.createSymbolicLink(library, Path.of("target/lib").toAbsolutePath());
         Path classes = Files.createDirectories(home.resolve("classes"));
-        List<String> arguments = new ArrayList<>(List.of("-nowarn", "-proc:none", "-d", classes.toString(), "-cp",
+        List<String> arguments = new ArrayList<>(List.of("-nowarn", "-proc:none", "-d", classes.toString(),
+                "-cp",
                 "target/classes" + File.pathSeparator + libraries(), "-XDstringConcat=inline"));
         for (Change change : mutant.changes()) {
             arguments.add(changed(home, mutant, change).toString());
@@ -202,7 +211,8 @@
     /** {@code [NAME ...]}: those, or all. */
     public static void main(String[] args) throws Exception {
         List<String> names = List.of(args);
-        List<Mutant> wanted = all().stream().filter(m -> names.isEmpty() || names.contains(m.name())).toList();
+        List<Mutant> wanted = all().stream().filter(m -> names.isEmpty()
+                || names.contains(m.name())).toList();
         ExecutorService plays = Executors.newFixedThreadPool(AT_ONCE);
         List<Future<String>> results = new ArrayList<>();
         for (Mutant mutant : wanted) {
@@ -216,7 +226,8 @@
             boolean seen = found != null && Stream.of(mutant.breach().split("\\|")).anyMatch(found::contains);
             missed += seen ? 0 : 1;
             System.err.println(mutant.name() + ": " + (seen ? "found, " : "MISSED, wanted '" + mutant.breach()
-                    + "', ") + (found == null ? "nothing" : found.substring(0, Math.min(300, found.length()))));
+                    + "', ") + (found == null ? "nothing" : found.substring(0, Math.min(300,
+                            found.length()))));
         }
         plays.shutdown();
         System.out.println("mutants=" + wanted.size() + " missed=" + missed);
--- a/src/rig/java/reedspring/rig/fleet/Soak.java
+++ b/src/rig/java/reedspring/rig/fleet/Soak.java
@@ -53,7 +53,8 @@
     }
 
     private static final What[] PLAYED = {What.REFUSE, What.CUT, What.RESET, What.HALF_OPEN, What.DELAY,
-        What.KILL, What.STOP, What.LEAVE, What.FAIL, What.SLOW, What.SILENT, What.HANG, What.FORGET, What.COPIES,
+        What.KILL, What.STOP, What.LEAVE, What.FAIL, What.SLOW, What.SILENT, What.HANG, What.FORGET,
+                What.COPIES,
         What.SPOIL, What.DRAIN, What.REPLACE, What.ACCEPT_FAILS, What.CONNECT_FAILS, What.INTERRUPTS,
         What.CLOCK_FORWARD, What.CLOCK_BACK, What.RELOAD, What.GIVE_UP, What.SLOW_CLIENTS, What.BAD_CLIENTS,
         What.PIPELINE, What.BURST, What.STOP, What.LEAVE, What.DRAIN, What.REPLACE};
@@ -103,7 +104,8 @@
     static String story(Timetable day) {
         return day.fronts() + " fronts, " + day.engines() + " engines: " + day.entries().stream()
                 .sorted((a, b) -> Long.compare(a.at(), b.at()))
-                .map(e -> String.format(Locale.ROOT, "%s %.1f to %.1f s%s", e.what(), e.at() / (double) SECOND,
+                .map(e -> String.format(Locale.ROOT, "%s %.1f to %.1f s%s", e.what(),
+                        e.at() / (double) SECOND,
                         e.until() / (double) SECOND, e.what().ofLinks() ? " of " + e.link() : ""))
                 .collect(Collectors.joining("; "));
     }
--- a/src/rig/java/reedspring/rig/fleet/Timetable.java
+++ b/src/rig/java/reedspring/rig/fleet/Timetable.java
@@ -256,7 +256,8 @@
 
     /** The same with other things that happen. */
     Timetable with(String otherName, List<Entry> other) {
-        return new Timetable(otherName, fronts, engines, sites, cores, memoryMb, length, settle, perSecond, mix,
+        return new Timetable(otherName, fronts, engines, sites, cores, memoryMb, length, settle, perSecond,
+                mix,
                 busyFronts, busyTimes, sessions, patience, coldMultiple, List.copyOf(other));
     }
 
