Front's client connections and its end are files of their own; lines within 110

ClientRoster (which connection goes where there is no room) and Shutdown (from SIGTERM to the last answer read) were part of Front; moved as they stood, named constants for their looks.

--- a/src/main/java/reedspring/core/policy/AcceptBackoff.java
+++ b/src/main/java/reedspring/core/policy/AcceptBackoff.java
@@ -1,9 +1,10 @@
 package reedspring.core.policy;
 
 /**
- * How long a listener rests after an accept that failed. A failure that concerns one connection costs nothing;
- * one for lack of something is tried again within milliseconds, and less often while it goes on failing, so that
- * the event loop does not spin on a queue that it can't empty. Times are whole tenths of a millisecond.
+ * How long a listener rests after an accept that failed. A failure that concerns one connection costs
+ * nothing; one for lack of something is tried again within milliseconds, and less often while it goes on
+ * failing, so that the event loop does not spin on a queue that it can't empty. Times are whole tenths of a
+ * millisecond.
  */
 public final class AcceptBackoff {
     /** What an accept failed for. */
--- a/src/main/java/reedspring/core/policy/EngineStartTime.java
+++ b/src/main/java/reedspring/core/policy/EngineStartTime.java
@@ -1,11 +1,12 @@
 package reedspring.core.policy;
 
 /**
- * When an engine started, from a Unix time that another machine names. Either machine's wall clock may have been
- * stepped since this process began, by seconds or by an hour, so that the time is read in two ways: against the
- * wall clock as it was when this process started, and against the wall clock as it is now. One of the two is
- * right for each kind of step. An engine that is taken for colder than it is gets a little less work; one that is
- * taken for warm falls over. So the later of the two counts, unless it lies in the future.
+ * When an engine started, from a Unix time that another machine names. Either machine's wall clock may have
+ * been stepped since this process began, by seconds or by an hour, so that the time is read in two ways:
+ * against the wall clock as it was when this process started, and against the wall clock as it is now. One
+ * of the two is right for each kind of step. An engine that is taken for colder than it is gets a little
+ * less work; one that is taken for warm falls over. So the later of the two counts, unless it lies in the
+ * future.
  *
  * <p>Times are whole tenths of a millisecond by the process's own steady clock.
  */
@@ -33,8 +34,9 @@
     }
 
     /**
-     * The same for an engine that a live stream of changes has just named for the first time. One that is said
-     * to have started long before the stream last said anything contradicts that: its machine's clock is off.
+     * The same for an engine that a live stream of changes has just named for the first time. One that is
+     * said to have started long before the stream last said anything contradicts that: its machine's clock
+     * is off.
      *
      * @param lastHeard when the stream last said anything before it
      */
--- a/src/main/java/reedspring/core/policy/QueryLifecycle.java
+++ b/src/main/java/reedspring/core/policy/QueryLifecycle.java
@@ -5,8 +5,9 @@
 /**
  * One query's way from its arrival to its final answer, and the one place that says what may be done with it
  * now. Whoever is about to start, send or answer something asks here first and does it only if the verdict is
- * {@link Verdict#ALLOWED}; the verdict is also the reason that is counted and logged. A verdict that is a breach
- * means that its caller was about to break a rule: the front does not do it, counts it and tells of it.
+ * {@link Verdict#ALLOWED}; the verdict is also the reason that is counted and logged. A verdict that is a
+ * breach means that its caller was about to break a rule: the front does not do it, counts it and tells of
+ * it.
  *
  * <p>Make one for each query that is taken. Not for use by several threads.
  */
@@ -67,7 +68,8 @@
      * @param clientThere whether the client's connection and the query still stand, by a look just now
      * @param engineReady whether the engine still takes work, by the news as of now
      */
-    public record SendFacts(long now, long deadline, long lastStart, boolean clientThere, boolean engineReady) {
+    public record SendFacts(long now, long deadline, long lastStart, boolean clientThere,
+            boolean engineReady) {
     }
 
     private enum Attempt { NONE, DECIDED, SENT }
--- a/src/main/java/reedspring/net/ArrivalBound.java
+++ b/src/main/java/reedspring/net/ArrivalBound.java
@@ -4,9 +4,9 @@
  * The last moment at which a socket is known to have been empty, so that what is read from it now came after
  * that. It bounds the arrival of what lay unread while the loop or the whole process stood still.
  *
- * <p>The selector is the witness: a socket that a poll does not report was empty at some moment after that poll
- * began, and so was one that was read until it gave less than was asked for. No time that is taken after a poll
- * proves as much, as the process may have been stopped between the two.
+ * <p>The selector is the witness: a socket that a poll does not report was empty at some moment after that
+ * poll began, and so was one that was read until it gave less than was asked for. No time that is taken
+ * after a poll proves as much, as the process may have been stopped between the two.
  */
 final class ArrivalBound {
     private final Turns turns;
--- a/src/main/java/reedspring/net/ClientConnection.java
+++ b/src/main/java/reedspring/net/ClientConnection.java
@@ -51,7 +51,8 @@
     /** @param notBefore a moment at which it had not come yet */
     ClientConnection(Front front, long notBefore) {
         this.front = front;
-        this.socket = new SocketReads(front.clock(), new ArrivalBound(front.turns(), front.clock(), notBefore));
+        this.socket = new SocketReads(front.clock(), new ArrivalBound(front.turns(), front.clock(),
+                notBefore));
         this.decoder = new RpcDecoder(front.limits(), front::piece);
         this.lastUsedAt = front.clock().now();
         this.sentAt = lastUsedAt;
@@ -294,7 +295,7 @@
     private void use() {
         useful = true;
         lastUsedAt = front.clock().now();
-        front.used(this);
+        front.roster().used(this);
     }
 
     boolean idleSince(long time) {
@@ -336,9 +337,9 @@
     }
 
     /**
-     * Whether a message has begun that does not end. A client that has been served may write slowly, as long as
-     * it writes; while a query of its own is open, that goes first. Ticks, not spans: time in which the front
-     * itself stood still must not count against a client.
+     * Whether a message has begun that does not end. A client that has been served may write slowly, as
+     * long as it writes; while a query of its own is open, that goes first. Ticks, not spans: time in which
+     * the front itself stood still must not count against a client.
      */
     private boolean unfinished() {
         boolean waits = decoder.midway() && decoder.messages() == messages && reads();
@@ -381,7 +382,7 @@
         decoder.hearNoMore();
         answerWhatIsOpen();
         abandon();
-        front.lingers(this);
+        front.roster().lingers(this);
         unsentBytes = Long.MAX_VALUE;
         sentAt = front.clock().now();
         lingerOn();
@@ -420,7 +421,7 @@
 
     /** Nothing more is owed here. */
     private void abandon() {
-        front.gone(this);
+        front.roster().gone(this);
         List<OpenQuery> left = new ArrayList<>(open.values());
         open.clear();
         reads.clear();
@@ -454,7 +455,7 @@
         }
         ending = true;
         abandon();
-        front.lingersNoMore(this);
+        front.roster().lingersNoMore(this);
         front.timers().cancel(lingers);
     }
 
--- a/src/main/java/reedspring/net/Counters.java
+++ b/src/main/java/reedspring/net/Counters.java
@@ -5,8 +5,8 @@
 
 /**
  * How often what has been done and for which reason, since the front's start: answers, ends of attempts,
- * refusals, ends of connections. Each reason is a constant of a typed enumeration, and its line in the log names
- * both. docs/on-call.md says what each means.
+ * refusals, ends of connections. Each reason is a constant of a typed enumeration, and its line in the log
+ * names both. docs/on-call.md says what each means.
  */
 final class Counters {
     private final Map<Enum<?>, long[]> counts = new LinkedHashMap<>();
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -6,14 +6,11 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.regex.Pattern;
-import java.util.stream.Stream;
 import reedspring.Control;
 import reedspring.api.Action;
 import reedspring.api.Deployment;
@@ -62,17 +59,11 @@
     private long newsAt;
     private final Map<Id.Query, OpenQuery> queries = new LinkedHashMap<>();
     private final Map<String, OpenQuery> traces = new HashMap<>();
-    /** Connections on which nothing of use has come yet, in the order of arrival; the rest by last use. */
-    private final Set<ClientConnection> newcomers = new LinkedHashSet<>();
-    private final Set<ClientConnection> clients = new LinkedHashSet<>();
-    /** Those whose write side is shut, in the order of their ends. */
-    private final Set<ClientConnection> lingering = new LinkedHashSet<>();
+    private final ClientRoster roster;
     private boolean deciding;
     private boolean listed;
     private boolean leaving;
     private long stayUntil = Long.MAX_VALUE;
-    private long accepted;
-    private long acceptedAtLook;
     private long ids;
     private long held;
     private long sumAt;
@@ -94,6 +85,7 @@
         turns.watchedBy(probe);
         this.timers = new Timers(loop, turns, clock, log, limits, probe);
         this.misses = new DeadlineMisses(limits, clock, timers, log);
+        this.roster = new ClientRoster(this, limits);
         this.engines = runner.apply(this);
         this.sumAt = clock.now() + limits.logEvery * 10L;
         deciding = true;
@@ -114,6 +106,10 @@
         return turns;
     }
 
+    ClientRoster roster() {
+        return roster;
+    }
+
     Counters counters() {
         return counters;
     }
@@ -206,80 +202,6 @@
 
     // ---- clients
 
-    /** False if the connection is one too many. */
-    boolean came(ClientConnection client) {
-        accepted++;
-        if (newcomers.size() + clients.size() >= limits.clientConnections) {
-            log.line("client connections at their limit", Integer.toString(limits.clientConnections));
-            ClientConnection idle = leastClaim();
-            if (idle != null) {
-                idle.shut(CloseReason.NO_ROOM);
-            } else if (newcomers.size() + clients.size() >= limits.clientConnections) {
-                counters.add(CloseReason.NO_ROOM);
-                return false;
-            }
-        }
-        newcomers.add(client);
-        return true;
-    }
-
-    /** Its write side is shut, and what still comes is thrown away. */
-    void lingers(ClientConnection client) {
-        if (lingering.size() >= limits.lingering && !leaving) {
-            // Each holds a descriptor, and a flood of ends must not take those of engines and journal.
-            ClientConnection eldest = lingering.iterator().next();
-            lingering.remove(eldest);
-            eldest.close();
-        }
-        lingering.add(client);
-    }
-
-    void lingersNoMore(ClientConnection client) {
-        lingering.remove(client);
-    }
-
-    /**
-     * Those that had their chance and sent nothing of use go first. Then the longest idle: its client asks
-     * again on another. What has just come is about to ask, and would lose its query.
-     */
-    private ClientConnection leastClaim() {
-        for (ClientConnection silent : List.copyOf(newcomers)) {
-            if (!silent.hadItsChance()) {
-                break;
-            }
-            if (!asks(silent)) {
-                return silent;
-            }
-        }
-        long now = clock.now();
-        for (ClientConnection client : List.copyOf(clients)) {
-            if (client.idleSince(now) && !client.midway() && !asks(client)) {
-                return client;
-            }
-        }
-        return newcomers.stream().findFirst().filter(eldest -> !asks(eldest)).orElse(null);
-    }
-
-    /**
-     * Whether something of it lay unread. What looks idle after a stop of the loop, or a moment after it was
-     * accepted, may have asked already, and the end of its connection would cost that query.
-     */
-    private static boolean asks(ClientConnection client) {
-        return !client.there() || client.busy() || client.midway() || client.unsent();
-    }
-
-    /** It has sent something of use or had an answer, and goes to the end of the line. */
-    void used(ClientConnection client) {
-        if (newcomers.remove(client) || clients.remove(client)) {
-            clients.add(client);
-        }
-    }
-
-    void gone(ClientConnection client) {
-        newcomers.remove(client);
-        clients.remove(client);
-    }
-
     /** The query, still to be decided, or null if it was answered here. */
     OpenQuery take(ClientConnection client, RpcDecoder.Call call, long arrivedAt) {
         Map<String, String> fields = call.fields();
@@ -642,7 +564,8 @@
                     s.query.trace);
             case ENGINE_NOT_READY -> log.line("submission withheld, engine no longer up",
                     s.connection.engine());
-            case DEADLINE_PASSED -> log.line("submission withheld, its client waits no longer", s.query.trace);
+            case DEADLINE_PASSED -> log.line("submission withheld, its client waits no longer",
+                    s.query.trace);
             default -> {
                 // Its client has gone, as many do.
             }
@@ -724,15 +647,19 @@
         if (kept != null) {
             kept.tick();
         }
-        List.copyOf(newcomers).forEach(client -> client.tick(now));
-        List.copyOf(clients).forEach(client -> client.tick(now));
+        roster.open().forEach(client -> client.tick(now));
         if (now >= sumAt) {
             sumAt = now + limits.logEvery * 10L;
-            log.sum();
-            tellCounts();
+            tellSums();
         }
     }
 
+    /** The last lines of a front that has left. */
+    void tellSums() {
+        log.sum();
+        tellCounts();
+    }
+
     private void tellCounts() {
         String counts = counters.changes();
         if (counts != null) {
@@ -766,61 +693,28 @@
                 s.end = timers.at(s.timeoutAt, () -> timedOut(s));
             }
         }
-        leaveLater(now, left);
-    }
-
-    private void leaveLater(long since, Runnable left) {
-        long gone = clock.now() - since;
-        boolean moreCame = accepted != acceptedAtLook;
-        acceptedAtLook = accepted;
-        if (gone < limits.leavingQuiet * 10L || !allAnswered() && gone < limits.leavingLongest * 10L
-                + limits.lastResort * 20L) {
-            timers.in(100, () -> leaveLater(since, left));
-            return;
-        }
-        // Nothing can come any more but on connections that rest here. What lies unread there is still taken.
-        Stream.concat(newcomers.stream(), clients.stream()).toList().forEach(ClientConnection::there);
-        // A turn accepts some connections only, and reads a part of a long query. After a stop of the loop
-        // the others still wait in the listener's queue, which ends with it: all of them would be reset.
-        boolean more = moreCame || listener != null && listener.rests() || newcomers.stream().anyMatch(ClientConnection::midway)
-                || clients.stream().anyMatch(ClientConnection::midway);
-        if ((more || !allAnswered()) && gone < limits.leavingLongest * 10L) {
-            timers.in(100, () -> leaveLater(since, left));
-            return;
-        }
-        ending.run();
-        Stream.concat(newcomers.stream(), clients.stream()).toList()
-                .forEach(client -> client.shut(CloseReason.FRONT_ENDS));
-        lingerOn(clock.now(), since + (limits.leavingLongest + limits.leavingFlush) * 10L, left);
+        new Shutdown(this, limits, roster, now).begin(left);
     }
 
-    private boolean allAnswered() {
+    boolean allAnswered() {
         return queries.values().stream().allMatch(OpenQuery::answered);
     }
 
-    /**
-     * Until each client has read its last answer, for as long as there is time, and has ended its side, for a
-     * moment: not all do.
-     */
-    private void lingerOn(long since, long until, Runnable left) {
-        long now = clock.now();
-        if (lingering.isEmpty() || now >= until || now >= since + limits.leavingFlush * 10L
-                && lingering.stream().noneMatch(ClientConnection::unsent)) {
-            log.once("left", "");
-            log.sum();
-            tellCounts();
-            left.run();
-        } else {
-            timers.in(20, () -> lingerOn(since, until, left));
-        }
-    }
-
     void listensBehind(AcceptGuard guard) {
         listener = guard;
     }
 
+    /** Whether connections may wait that could not be accepted yet. */
+    boolean mayHoldUnaccepted() {
+        return listener != null && listener.rests();
+    }
+
     /** What has to be closed with the last connections: the listener. */
     void atTheEnd(Runnable what) {
         ending = what;
     }
+
+    void closeListener() {
+        ending.run();
+    }
 }
--- a/src/main/java/reedspring/net/Journal.java
+++ b/src/main/java/reedspring/net/Journal.java
@@ -174,7 +174,10 @@
             channel.writeAndFlush(get);
         }
 
-        /** Among the front's own alarms, as for engines: a stop of this process is no silence of the service. */
+        /**
+         * Among the front's own alarms, as for engines: a stop of this process is no silence of the
+         * service.
+         */
         private void watch() {
             long patience = (connected ? limits.journalSilence : limits.journalConnect) * 10L;
             front.timers().at(heardAt + patience, () -> {
--- a/src/main/java/reedspring/net/QueryHistory.java
+++ b/src/main/java/reedspring/net/QueryHistory.java
@@ -3,8 +3,8 @@
 import java.util.Locale;
 
 /**
- * What happened to one query and when, kept until it is over, so that one that ends badly can be explained by its
- * own line in the log. Bounded: past the last place the newest step is written over.
+ * What happened to one query and when, kept until it is over, so that one that ends badly can be explained
+ * by its own line in the log. Bounded: past the last place the newest step is written over.
  */
 final class QueryHistory {
     private static final int STEPS = 12;
--- a/src/main/java/reedspring/net/SocketReads.java
+++ b/src/main/java/reedspring/net/SocketReads.java
@@ -8,9 +8,9 @@
 import io.netty.channel.nio.AbstractNioChannel;
 
 /**
- * The first handler of a connection: counts the bytes that come, and can read all that lies in the socket now,
- * ahead of the selector. One read is no proof that nothing lies behind it: a close, or a cancel, shows only once
- * a read brings nothing more.
+ * The first handler of a connection: counts the bytes that come, and can read all that lies in the socket
+ * now, ahead of the selector. One read is no proof that nothing lies behind it: a close, or a cancel, shows
+ * only once a read brings nothing more.
  */
 final class SocketReads extends ChannelInboundHandlerAdapter {
     /** Passes of sixteen reads each, for which one look goes on at the most: far more than a socket holds. */
--- a/src/main/java/reedspring/net/Startup.java
+++ b/src/main/java/reedspring/net/Startup.java
@@ -143,8 +143,8 @@
     }
 
     /**
-     * Waits for the address for a while: the process before may not have gone yet, and the system may lack for a
-     * moment what a socket takes.
+     * Waits for the address for a while: the process before may not have gone yet, and the system may lack
+     * for a moment what a socket takes.
      */
     private static ChannelFuture listen(Supplier<ServerBootstrap> server, InetSocketAddress address)
             throws InterruptedException {
@@ -291,8 +291,9 @@
                     protected void initChannel(Channel made) {
                         ClientConnection client = new ClientConnection(front, guard.earliestArrival());
                         made.pipeline().addLast(client.socketReads(),
-                                new FlushConsolidationHandler(limits.flushes, true), client.decoder(), client);
-                        if (!front.came(client)) {
+                                new FlushConsolidationHandler(limits.flushes, true), client.decoder(),
+                                        client);
+                        if (!front.roster().came(client)) {
                             made.close();
                         }
                     }
--- a/src/main/java/reedspring/spool/Word.java
+++ b/src/main/java/reedspring/spool/Word.java
@@ -38,7 +38,10 @@
     record PageRead(long reader, AnswerId answer, int page) implements Word {
     }
 
-    /** The page can't be read just now, as the disk or the system fails; what is there is not known to be bad. */
+    /**
+     * The page can't be read just now, as the disk or the system fails; what is there is not known to be
+     * bad.
+     */
     record PageUnread(long reader, AnswerId answer, int page, String why) implements Word {
     }
 
--- a/src/main/java/reedspring/spool/store/Store.java
+++ b/src/main/java/reedspring/spool/store/Store.java
@@ -175,7 +175,10 @@
         writeIndex(new Format.Index(segment, to.synced, List.copyOf(to.whole.values()), to.dropped));
     }
 
-    /** Without its index the segment is read whole again at the next start; what is in it is there all the same. */
+    /**
+     * Without its index the segment is read whole again at the next start; what is in it is there all the
+     * same.
+     */
     private void sealFound(Format.Index index, Consumer<String> remarks) {
         try {
             writeIndex(index);
--- a/src/test/java/reedspring/net/AcceptIT.java
+++ b/src/test/java/reedspring/net/AcceptIT.java
@@ -83,7 +83,8 @@
             String trace = Client.trace();
             List<?> answer;
             try {
-                answer = client.send(Client.query(id, trace, PATIENCE, "select 1 from sales_17.orders")).read();
+                answer = client.send(Client.query(id, trace, PATIENCE,
+                        "select 1 from sales_17.orders")).read();
             } catch (java.io.IOException e) {
                 throw new AssertionError("query " + id + ": " + front.log, e);
             }
--- a/src/test/java/reedspring/net/CodecTest.java
+++ b/src/test/java/reedspring/net/CodecTest.java
@@ -278,8 +278,8 @@
     }
 
     /**
-     * The clock of this machine alone is stepped, of all machines, or of none: what started a second ago counts
-     * as started then, or later, and never as warm.
+     * The clock of this machine alone is stepped, of all machines, or of none: what started a second ago
+     * counts as started then, or later, and never as warm.
      */
     @Example
     void aStepOfTheClockMakesNoColdEngineWarm() {
--- a/src/test/java/reedspring/net/CrossingsIT.java
+++ b/src/test/java/reedspring/net/CrossingsIT.java
@@ -24,7 +24,10 @@
 import reedspring.rig.JournalStandIn;
 import reedspring.rig.Program;
 
-/** Two events that cross, found in the pre-production hunt: docs/incidents/fault-hunt.md has a row for each. */
+/**
+ * Two events that cross, found in the pre-production hunt: docs/incidents/fault-hunt.md has a row for
+ * each.
+ */
 class CrossingsIT extends Started {
     private static final byte[] NO_MESSAGEPACK = {(byte) 0xc1, (byte) 0xc1};
 
@@ -189,7 +192,8 @@
         String listen = Program.freeAddress();
         journal = open(new JournalStandIn());
         EngineStandIn engine = engine(1);
-        try (ServerSocket before = new ServerSocket(Integer.parseInt(listen.substring(listen.indexOf(':') + 1)),
+        try (ServerSocket before = new ServerSocket(Integer.parseInt(listen.substring(listen.indexOf(':')
+                + 1)),
                 1, InetAddress.getLoopbackAddress())) {
             front = open(new Program(Program.config(listen, journal.address(),
                     event(1, true, host("e0", engine.address(), "ready")))));
--- a/src/test/java/reedspring/net/DeadlineIT.java
+++ b/src/test/java/reedspring/net/DeadlineIT.java
@@ -13,8 +13,8 @@
 import reedspring.rig.EngineStandIn;
 
 /**
- * The deadline that goes on to an engine against what the client has left, where the front stood still when the
- * query came; issue 43, docs/incidents/deadline-new-connection.md.
+ * The deadline that goes on to an engine against what the client has left, where the front stood still when
+ * the query came; issue 43, docs/incidents/deadline-new-connection.md.
  */
 class DeadlineIT extends Started {
     private static final int PATIENCE_MS = 3_000;
@@ -144,7 +144,8 @@
         });
         String trace = sentAt.keySet().iterator().next();
         noneOver(1, "in pieces");
-        EngineStandIn.Command fetch = engine.seen("fetch").stream().filter(c -> c.id().equals(trace)).findFirst()
+        EngineStandIn.Command fetch = engine.seen("fetch").stream().filter(c ->
+                c.id().equals(trace)).findFirst()
                 .orElseThrow();
         long told = Long.parseLong(fetch.words().get(2).replaceAll(".*ttl=(\\d+).*", "$1"));
         assertTrue(told > PATIENCE_MS - 600, "the wait for its last piece is not its client's: " + told);
--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -763,7 +763,8 @@
         }
         assertTrue(front.process.waitFor(10, TimeUnit.SECONDS));
         long endedMs = (System.nanoTime() - term) / 1_000_000;
-        assertTrue(endedMs < 1_900, "SIGKILL would have come, it ended after " + endedMs + " ms: " + front.log);
+        assertTrue(endedMs < 1_900, "SIGKILL would have come, it ended after " + endedMs + " ms: "
+                + front.log);
     }
 
     /** What the last turn writes, and what a slow client has not taken yet, goes out before the end. */
--- a/src/test/java/reedspring/rig/fleet/RulesTest.java
+++ b/src/test/java/reedspring/rig/fleet/RulesTest.java
@@ -164,7 +164,8 @@
     }
 
     private EngineHost.Attempt told(Crowd.Try one, int ttlMs, long afterMs) {
-        EngineHost.Attempt attempt = new EngineHost.Attempt(new EngineStandIn.Command(List.of("fetch", one.trace,
+        EngineHost.Attempt attempt = new EngineHost.Attempt(new EngineStandIn.Command(List.of("fetch",
+                one.trace,
                 "lane=lookup,ttl=" + ttlMs, ""), null, one.sentAt + afterMs * MS), 0, "e0", 1_000);
         attempt.ends("data");
         attempts.add(attempt);
