--- a/src/rig/java/reedspring/rig/fleet/Mutants.java
+++ b/src/rig/java/reedspring/rig/fleet/Mutants.java
@@ -132,7 +132,8 @@
                         "        channel.write(message(q.statement.retainedDuplicate(), \"fetch\", q.trace,\n"
                                 + "                \"lane=\" + q.group + \",ttl=\" + left));\n",
                         day("sends-twice"), "two submissions at once|a change was run"),
-                new Mutant("leaves-at-once", "net/Front.java", "        new Shutdown(this, limits, roster, now).begin(left);\n",
+                new Mutant("leaves-at-once", "net/Front.java",
+                        "        new Shutdown(this, limits, roster, now).begin(left);\n",
                         "        left.run();\n", day("leaves-at-once",
                                 trouble(What.LEAVE, 2, 3.7, 1), trouble(What.SLOW, 1, 6, 4)),
                                         "lost unanswered"));
--- a/src/test/java/reedspring/net/SpoolIT.java
+++ b/src/test/java/reedspring/net/SpoolIT.java
@@ -18,6 +18,8 @@
 import net.jqwik.api.Example;
 import reedspring.rig.Client;
 import reedspring.rig.EngineStandIn;
+import reedspring.rig.FaultShim;
+import reedspring.rig.FaultShim.Fault;
 import reedspring.rig.JournalStandIn;
 import reedspring.rig.Program;
 
@@ -30,6 +32,8 @@
     private final Path key;
     private final String listen;
     private EngineStandIn engine;
+    /** Of a front whose disk can be made to fail; null for any other. */
+    private FaultShim shim;
 
     SpoolIT() throws IOException {
         folder = Files.createDirectory(Files.createTempDirectory("reedspring").resolve("spool"));
@@ -44,8 +48,10 @@
         }
         Path settings = Files.writeString(folder.resolveSibling("own.ini"), "[spool]\nfolder = " + folder
                 + "\nkey_file = " + key + (more.contains("total") ? "\n" : "\ntotal = 64MB\n") + more);
-        front = open(Program.with(Program.config(listen, journal.address(), event(1, true,
-                host("e0", engine.address(), "ready"))).replace("repeatable", effect), settings)).ready();
+        String config = Program.config(listen, journal.address(), event(1, true,
+                host("e0", engine.address(), "ready"))).replace("repeatable", effect);
+        front = open(shim == null ? Program.with(config, settings) : Program.with(config, settings,
+                shim)).ready();
         await("what lies on the disk", () -> front.logged("answers found") || front.logged("can't be used"));
     }
 
@@ -138,6 +144,38 @@
         assertEquals("Fault", Client.error(client().send(call("page", 1, handle, "0", "acme")).read()));
     }
 
+    /** Writes and syncs fail,
+            some half done; the process is killed meanwhile and started on the same disk. */
+    @Example
+    void aDiskThatFailsForAWhileAndAKillCostNoAnswerThatWasKept() throws Exception {
+        shim = open(new FaultShim());
+        Map<String, String> kept = new HashMap<>();
+        for (int error : new int[] {FaultShim.ENOSPC, FaultShim.EIO}) {
+            start("keep = 1h\n", "repeatable");
+            Client client = client();
+            for (int id = 1; id <= 3; id++) {
+                String trace = Client.trace();
+                kept.put(trace, keep(client, id, trace));
+            }
+            shim.set(Fault.DISK_SHORT, 1);
+            shim.set(Fault.DISK_ERRNO, error);
+            assertEquals("Shed", Client.error(client.send(paged(9, Client.trace())).read()));
+            front.signal("-KILL");
+            assertTrue(front.process.waitFor(10, TimeUnit.SECONDS));
+            start("keep = 1h\n", "repeatable");
+            Client later = client();
+            for (Map.Entry<String, String> each : kept.entrySet()) {
+                reads(later, each.getValue(), each.getKey(), 0, 20, 39);
+            }
+            shim.calm();
+            String trace = Client.trace();
+            kept.put(trace, keep(later, 10, trace));
+            front.signal("-KILL");
+            assertTrue(front.process.waitFor(10, TimeUnit.SECONDS));
+        }
+        assertTrue(shim.get(Fault.FAILED_CALLS) > 0, "no call failed");
+    }
+
     /** No more room: a query that may run again is deferred, one that has run and must not is not. */
     @Example
     void aFullSpoolDefersOnlyWhatMayRunAgain() throws Exception {
