--- a/src/rig/java/reedspring/rig/fleet/Fleet.java
+++ b/src/rig/java/reedspring/rig/fleet/Fleet.java
@@ -118,8 +118,24 @@
 
         /** Not to one that has ended by then, as it was told to. */
         private void signal(String name) throws IOException, InterruptedException {
-            if (program.process.isAlive()) {
-                program.signal(name);
+            unlessEnded(() -> program.signal(name));
+        }
+
+        /** It may end between a look and the signal, too. */
+        private void unlessEnded(Work signals) throws IOException, InterruptedException {
+            try {
+                if (program.process.isAlive()) {
+                    signals.run();
+                }
+            } catch (AssertionError e) {
+                program.process.waitFor(1, TimeUnit.SECONDS);
+                if (program.process.isAlive()) {
+                    throw e;
+                }
+            } catch (IOException | InterruptedException | RuntimeException e) {
+                throw e;
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
             }
         }
 
@@ -130,9 +146,10 @@
                 return;
             }
             moved = !moved;
-            program.reload(moved ? config.replace("\"" + journals.address() + "\"", "\""
+            String next = moved ? config.replace("\"" + journals.address() + "\"", "\""
                     + otherJournals.address()
-                    + "\"") : config);
+                    + "\"") : config;
+            unlessEnded(() -> program.reload(next));
         }
 
         private Relay.Door door(Link link, int engine) {
