One limit for how late a read may be; a spool test's steps stand once

The 10 ms within which a read needs no closer look stood in AcceptGuard and in SocketReads: it is ArrivalBound's now. A submission for a query that is unknown was counted as ATTEMPT_OUT, a breach that it is not: QUERY_OVER. SpoolIT: kill and reading all stood three times.

--- a/src/main/java/reedspring/net/AcceptGuard.java
+++ b/src/main/java/reedspring/net/AcceptGuard.java
@@ -16,8 +16,6 @@
 final class AcceptGuard extends ChannelInboundHandlerAdapter {
     /** Netty accepts so many in one pass. */
     private static final int ACCEPTED_IN_A_PASS = 16;
-    /** What was accepted within that time of its bound needs no closer look, in tenths of a millisecond. */
-    private static final long CLOSE_ENOUGH = 100;
     /** An interrupted accept looks like an empty queue; two of them in a row are taken for one. */
     private static final int EMPTY_PASSES = 2;
     private static final int MOST_PASSES = 256;
@@ -60,7 +58,7 @@
     public void channelReadComplete(ChannelHandlerContext ctx) {
         if (!acceptingAll) {
             boolean more = accepted >= ACCEPTED_IN_A_PASS;
-            if (!rests && clock().now() - arrival.earliest() > CLOSE_ENOUGH) {
+            if (!rests && arrival.mayHaveWaited()) {
                 // The queue filled while the process stood still: until it is empty, all in it may be as old.
                 more = !acceptAll(ctx.channel());
             }
@@ -92,10 +90,6 @@
         }
     }
 
-    private Clock clock() {
-        return front.clock();
-    }
-
     /** Not passed on: Netty's acceptor would switch the listener off for a second. */
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
--- a/src/main/java/reedspring/net/ArrivalBound.java
+++ b/src/main/java/reedspring/net/ArrivalBound.java
@@ -9,6 +9,9 @@
  * after a poll proves as much, as the process may have been stopped between the two.
  */
 final class ArrivalBound {
+    /** What is read within that time of its bound needs no closer look, in tenths of a millisecond. */
+    private static final long CLOSE_ENOUGH = 100;
+
     private final Turns turns;
     private final Clock clock;
     private long emptyAt;
@@ -31,6 +34,11 @@
         return emptyAt;
     }
 
+    /** Whether what is read now may have waited for so long that it matters whether more lies behind it. */
+    boolean mayHaveWaited() {
+        return clock.now() - earliest() > CLOSE_ENOUGH;
+    }
+
     /** More may lie in the socket than was read in this turn. */
     void notEmptied() {
         unprovenTurn = turns.number();
--- a/src/main/java/reedspring/net/ClientConnection.java
+++ b/src/main/java/reedspring/net/ClientConnection.java
@@ -51,8 +51,7 @@
     /** @param notBefore a moment at which it had not come yet */
     ClientConnection(Front front, long notBefore) {
         this.front = front;
-        this.socket = new SocketReads(front.clock(), new ArrivalBound(front.turns(), front.clock(),
-                notBefore));
+        this.socket = new SocketReads(new ArrivalBound(front.turns(), front.clock(), notBefore));
         this.decoder = new RpcDecoder(front.limits(), front::piece);
         this.lastUsedAt = front.clock().now();
         this.sentAt = lastUsedAt;
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -481,7 +481,7 @@
     private void submit(Action.Submit submit) {
         OpenQuery q = queries.get(submit.query());
         if (q == null || q.out != null) {
-            counters.add(Verdict.ATTEMPT_OUT);
+            counters.add(q == null ? Verdict.QUERY_OVER : Verdict.ATTEMPT_OUT);
             log.line("submission for a query that is over", Long.toString(submit.query().value()));
             return;
         }
--- a/src/main/java/reedspring/net/SocketReads.java
+++ b/src/main/java/reedspring/net/SocketReads.java
@@ -15,21 +15,17 @@
 final class SocketReads extends ChannelInboundHandlerAdapter {
     /** Passes of sixteen reads each, for which one look goes on at the most: far more than a socket holds. */
     private static final int MOST_PASSES = 256;
-    /** What is read within that time of its bound needs no closer look, in tenths of a millisecond. */
-    private static final long CLOSE_ENOUGH = 100;
 
-    private final Clock clock;
     private final ArrivalBound arrival;
     private long bytes;
     private boolean readingAll;
 
     /** Of a connection on which nobody asks when bytes came. */
     SocketReads() {
-        this(null, null);
+        this(null);
     }
 
-    SocketReads(Clock clock, ArrivalBound arrival) {
-        this.clock = clock;
+    SocketReads(ArrivalBound arrival) {
         this.arrival = arrival;
     }
 
@@ -71,7 +67,7 @@
         if (arrival != null && !readingAll) {
             if (filled(ctx.channel())) {
                 arrival.notEmptied();
-            } else if (clock.now() - arrival.earliest() > CLOSE_ENOUGH) {
+            } else if (arrival.mayHaveWaited()) {
                 // After a stop a read that was cut short must not pass for the socket's end.
                 readAll(ctx.channel());
             }
--- a/src/test/java/reedspring/net/SpoolIT.java
+++ b/src/test/java/reedspring/net/SpoolIT.java
@@ -95,6 +95,19 @@
         }
     }
 
+    private void killed() throws Exception {
+        front.signal("-KILL");
+        assertTrue(front.process.waitFor(10, TimeUnit.SECONDS));
+    }
+
+    /** First, middle and last page of each, by a client of its own. */
+    private void readsAll(Map<String, String> kept) throws IOException {
+        Client client = client();
+        for (Map.Entry<String, String> each : kept.entrySet()) {
+            reads(client, each.getValue(), each.getKey(), 0, 20, 39);
+        }
+    }
+
     @Example
     void aLargeAnswerIsReadPageByPageAndItsEngineIsFree() throws Exception {
         start("", "repeatable");
@@ -125,17 +138,12 @@
             kept.put(trace, keep(client, id, trace));
         }
         for (int round = 0; round < 3; round++) {
-            front.signal("-KILL");
-            assertTrue(front.process.waitFor(10, TimeUnit.SECONDS));
+            killed();
             start("keep = 1h\n", "repeatable");
-            Client later = client();
-            for (Map.Entry<String, String> each : kept.entrySet()) {
-                reads(later, each.getValue(), each.getKey(), 0, 20, 39);
-            }
+            readsAll(kept);
         }
         // Another front, which can't know it.
-        front.signal("-KILL");
-        assertTrue(front.process.waitFor(10, TimeUnit.SECONDS));
+        killed();
         String config = Program.config(listen, journal.address(), event(1, true,
                 host("e0", engine.address(), "ready"))).replace("\"n0\"", "\"n1\"");
         front = open(Program.with(config, folder.resolveSibling("own.ini"))).ready();
@@ -160,18 +168,13 @@
             shim.set(Fault.DISK_SHORT, 1);
             shim.set(Fault.DISK_ERRNO, error);
             assertEquals("Shed", Client.error(client.send(paged(9, Client.trace())).read()));
-            front.signal("-KILL");
-            assertTrue(front.process.waitFor(10, TimeUnit.SECONDS));
+            killed();
             start("keep = 1h\n", "repeatable");
-            Client later = client();
-            for (Map.Entry<String, String> each : kept.entrySet()) {
-                reads(later, each.getValue(), each.getKey(), 0, 20, 39);
-            }
+            readsAll(kept);
             shim.calm();
             String trace = Client.trace();
-            kept.put(trace, keep(later, 10, trace));
-            front.signal("-KILL");
-            assertTrue(front.process.waitFor(10, TimeUnit.SECONDS));
+            kept.put(trace, keep(client(), 10, trace));
+            killed();
         }
         assertTrue(shim.get(Fault.FAILED_CALLS) > 0, "no call failed");
     }
