A trace that was taken before names no other query, also once its answer is written

Cause: Front.take compared a trace with those of open queries only, and forgot it with the query's end; letters were compared as they were written. An engine knows a query by its trace alone. A client that copies the trace of an open request (open to its own client, whose answer is on its way) was taken, and its statement sent on under a trace whose client never sent it. Change: core.policy.RecentIds keeps the last 8,192 traces at least, as numbers (some 60 bytes each); QueryRequest reads and checks a request's fields (out of the 90 lines of Front.take); refusals are counted by reason (RequestRefusal), told with the log's counts; the log names 'the trace was used before'.

--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -24,6 +24,7 @@
 import reedspring.core.policy.QueryLifecycle.Answer;
 import reedspring.core.policy.QueryLifecycle.SendFacts;
 import reedspring.core.policy.QueryLifecycle.Verdict;
+import reedspring.core.policy.RecentIds;
 import reedspring.net.QueryHistory.Step;
 
 /**
@@ -31,9 +32,6 @@
  * queries and their submissions; what an action brings about at once comes back as an event after it.
  */
 final class Front {
-    private static final Pattern TRACE = Pattern.compile("[0-9a-fA-F]{16}");
-    /** Goes on in a list of name=value, which it must not break. */
-    private static final Pattern MARK = Pattern.compile("[0-9A-Za-z._:/+-]{1,128}");
     private static final Pattern FIGURE = Pattern.compile("[0-9][0-9.eE+-]{0,31}");
 
     private final Boot boot;
@@ -58,7 +56,8 @@
     private KeptAnswers kept;
     private long newsAt;
     private final Map<Id.Query, OpenQuery> queries = new LinkedHashMap<>();
-    private final Map<String, OpenQuery> traces = new HashMap<>();
+    private final Map<Long, OpenQuery> traces = new HashMap<>();
+    private final RecentIds recentTraces;
     private final ClientRoster roster;
     private boolean deciding;
     private boolean listed;
@@ -86,6 +85,7 @@
         this.timers = new Timers(loop, turns, clock, log, limits, probe);
         this.misses = new DeadlineMisses(limits, clock, timers, log);
         this.roster = new ClientRoster(this, limits);
+        this.recentTraces = new RecentIds(limits.recentTraces);
         this.engines = runner.apply(this);
         this.sumAt = clock.now() + limits.logEvery * 10L;
         deciding = true;
@@ -204,38 +204,15 @@
 
     /** The query, still to be decided, or null if it was answered here. */
     OpenQuery take(ClientConnection client, RpcDecoder.Call call, long arrivedAt) {
-        Map<String, String> fields = call.fields();
-        Id.Group group = boot.group(call.method());
-        String fault = null;
-        double patience = number(fields, "patience");
-        double estimate = number(fields, "weight");
-        double needMb = number(fields, "need_mb");
-        String trace = fields.get("trace");
-        Id.Tenant tenant = boot.tenant(fields.get("customer"));
-        if (group == null) {
-            fault = "no such method";
-        } else if (trace == null || !TRACE.matcher(trace).matches()) {
-            fault = "trace: 16 hex digits are wanted";
-        } else if (!(patience <= limits.longestPatience) || !fields.containsKey("patience")) {
-            fault = "patience: milliseconds are wanted";
-        } else if (!(estimate <= limits.largestEstimate)) {
-            fault = "weight: milliseconds are wanted";
-        } else if (!(needMb <= limits.largestEstimate)) {
-            fault = "need_mb: megabytes are wanted";
-        } else if (tenant == Id.Tenant.NOBODY && !boot.deployment().tenants().isEmpty()) {
-            fault = "no such customer";
-        } else if (fields.containsKey("nonce") && !MARK.matcher(fields.get("nonce")).matches()) {
-            fault = "nonce: letters, digits and ._:/+- are wanted, 128 at most";
-        } else if (call.body() == null) {
-            fault = "the body is missing";
-        } else if (traces.containsKey(trace)) {
-            // An engine knows a query by its trace alone.
-            fault = "the trace is open already";
+        QueryRequest request = QueryRequest.of(call, boot, limits);
+        OpenQuery same = traces.get(request.traceId());
+        String fault = request.fault() != null ? request.fault() : repeatedTrace(request);
+        if (request.fault() != null) {
+            counters.add(RequestRefusal.UNUSABLE);
         }
         if (fault != null) {
             log.line("request that can't be used", fault);
-            OpenQuery same = traces.get(trace);
-            if (same != null && same.client == client) {
+            if (same != null && same.client == client && same.trace.equals(request.trace())) {
                 client.spoilt(call.id(), fault);
             } else {
                 client.error(call.id(), fault);
@@ -243,30 +220,52 @@
             return null;
         }
         if (queries.size() >= limits.queries || held > limits.heldBytes) {
+            counters.add(RequestRefusal.NO_ROOM);
             client.turnAway(call.id());
             return null;
         }
-        OpenQuery q = new OpenQuery(new Id.Query(++ids), call.id(), client, trace, call.method(),
-                call.body().retain(), Math.min(stayUntil, arrivedAt + Times.nearest(patience)),
-                new QueryLifecycle(boot.deployment().groups().get(group.index()),
-                        boot.deployment().allowed().submissions()));
+        OpenQuery q = opened(client, call, request, arrivedAt);
+        queries.put(q.id, q);
+        traces.put(q.traceId, q);
+        recentTraces.add(q.traceId);
+        hold(q.statement.readableBytes());
+        q.end = timers.at(q.leavesAt + limits.lastResort * 10L, () -> overdue(q));
+        q.taken = new Event.Taken(q.id, request.group(), request.tenant(), Statement.dataSet(q.statement),
+                Times.nearest(request.estimate()), request.needMb(), q.leavesAt, null);
+        return q;
+    }
+
+    /**
+     * An engine knows a query by its trace alone. One that comes again, be it while its query is open or
+     * after its answer, belongs to another request; sent on, it would be another statement under that name.
+     */
+    private String repeatedTrace(QueryRequest request) {
+        if (traces.containsKey(request.traceId())) {
+            counters.add(RequestRefusal.TRACE_OPEN);
+            return "the trace is open already";
+        }
+        if (recentTraces.contains(request.traceId())) {
+            counters.add(RequestRefusal.TRACE_REPEATED);
+            return "the trace was used before";
+        }
+        return null;
+    }
+
+    private OpenQuery opened(ClientConnection client, RpcDecoder.Call call, QueryRequest request,
+                             long arrivedAt) {
+        Deployment.ResourceGroup known = boot.deployment().groups().get(request.group().index());
+        OpenQuery q = new OpenQuery(new Id.Query(++ids), call, client, request,
+                Math.min(stayUntil, arrivedAt + Times.nearest(request.patience())),
+                new QueryLifecycle(known, boot.deployment().allowed().submissions()));
         q.takenAt = arrivedAt;
         q.history.add(Step.TAKEN, null, arrivedAt);
-        q.mark = fields.get("nonce");
-        q.paged = kept != null && "1".equals(fields.get("pages"));
+        q.paged = kept != null && "1".equals(call.fields().get("pages"));
         if (q.paged) {
-            q.tenant = fields.getOrDefault("customer", "");
-            Deployment.ResourceGroup known = boot.deployment().groups().get(group.index());
+            q.tenant = call.fields().getOrDefault("customer", "");
             q.repeatable = known.effect() == Deployment.Effect.READ_ONLY
                     || known.effect() == Deployment.Effect.TOKENED
                             && known.recognised() == Deployment.Recognised.ALL;
         }
-        queries.put(q.id, q);
-        traces.put(trace, q);
-        hold(q.statement.readableBytes());
-        q.end = timers.at(q.leavesAt + limits.lastResort * 10L, () -> overdue(q));
-        q.taken = new Event.Taken(q.id, group, tenant, Statement.dataSet(q.statement),
-                Times.nearest(estimate), needMb, q.leavesAt, null);
         return q;
     }
 
@@ -274,17 +273,6 @@
         on(q.taken);
     }
 
-    /** A figure from 0 on in plain digits, 0 where it is absent, NaN where it is none. */
-    private static double number(Map<String, String> fields, String name) {
-        String value = fields.get(name);
-        try {
-            return value == null ? 0
-                    : FIGURE.matcher(value).matches() ? Double.parseDouble(value) : Double.NaN;
-        } catch (NumberFormatException e) {
-            return Double.NaN;
-        }
-    }
-
     /** The client has gone or has revoked it, or the front ended its connection. */
     void left(OpenQuery q, boolean endedHere) {
         if (!q.answered()) {
@@ -373,7 +361,7 @@
     private void forget(OpenQuery q) {
         if (q.answered() && q.out == null && queries.remove(q.id) != null) {
             timers.cancel(q.end);
-            traces.remove(q.trace, q);
+            traces.remove(q.traceId, q);
             hold(-q.statement.readableBytes());
             q.statement.release();
         }
--- a/src/main/java/reedspring/net/Limits.java
+++ b/src/main/java/reedspring/net/Limits.java
@@ -49,6 +49,8 @@
 
     // All queries, and what is held for them: statements, unfinished messages, answers.
     final int queries = 2048;
+    /** Traces of queries that are known to have been taken; some 60 bytes each, twice as many at the most. */
+    final int recentTraces = 8192;
     final long heldBytes;
     final int answerBytes = 48_000;
     /** Figures of a query past these can't be meant, and what can't be meant is not decided on. */
--- a/src/main/java/reedspring/net/OpenQuery.java
+++ b/src/main/java/reedspring/net/OpenQuery.java
@@ -11,12 +11,13 @@
     final long messageId;
     final ClientConnection client;
     final String trace;
+    final long traceId;
     final String group;
     final ByteBuf statement;
     long leavesAt;
     Event.Taken taken;
     /** By which engines recognise a repeat, or null. Each submission bears it as the client sent it. */
-    String mark;
+    final String mark;
     /** Whether its client takes pages, and what the spool has to know of it then. */
     boolean paged;
     boolean repeatable;
@@ -36,14 +37,17 @@
     /** How long what was decided on may have lain unread by then. */
     long behind;
 
-    OpenQuery(Id.Query id, long messageId, ClientConnection client, String trace, String group,
-              ByteBuf statement, long leavesAt, QueryLifecycle lifecycle) {
+    /** Retains the call's body, until it is forgotten. */
+    OpenQuery(Id.Query id, RpcDecoder.Call call, ClientConnection client, QueryRequest request, long leavesAt,
+              QueryLifecycle lifecycle) {
         this.id = id;
-        this.messageId = messageId;
+        this.messageId = call.id();
         this.client = client;
-        this.trace = trace;
-        this.group = group;
-        this.statement = statement;
+        this.trace = request.trace();
+        this.traceId = request.traceId();
+        this.group = call.method();
+        this.statement = call.body().retain();
+        this.mark = request.mark();
         this.leavesAt = leavesAt;
         this.lifecycle = lifecycle;
     }
--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -368,8 +368,10 @@
         Limits limits = new Limits(boot, 1024, 192);
         loop.submit(() -> {
             Front made = new Front(loop, turns, boot, limits, new Log(limits, null), 1);
-            OpenQuery q = new OpenQuery(new Id.Query(1), 1, null, Client.trace(), "lookup",
-                    Unpooled.EMPTY_BUFFER, made.clock().now() + 50_000, new QueryLifecycle(
+            OpenQuery q = new OpenQuery(new Id.Query(1),
+                    new RpcDecoder.Call(1, "lookup", Map.of(), Unpooled.EMPTY_BUFFER, null), null,
+                    new QueryRequest(null, null, 0, 0, 0, Client.trace(), 1, null, null),
+                    made.clock().now() + 50_000, new QueryLifecycle(
                             new Deployment.ResourceGroup(10_000, 2, 1, 0, 1, Deployment.Effect.READ_ONLY,
                                     Deployment.Recognised.ALL, 0, false, null, null), 3));
             Submission s = new Submission(q, made.clock().now(), q.leavesAt, Long.MAX_VALUE);
