--- a/src/rig/c/faultshim.c
+++ b/src/rig/c/faultshim.c
@@ -10,10 +10,14 @@
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdatomic.h>
 #include <stdint.h>
 #include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <sys/mman.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -34,11 +38,16 @@
     DISK_SHORT,      /* a failing write has written half of its bytes before */
     FAILED_CALLS,    /* counted here: calls that this library has failed */
     OPEN_ERRNO,      /* opening a regular file for reading fails with this error */
+    CONFIG_OPENS,    /* so many opens of the file that RELAY_CONFIG names fail, with EIO, ENOENT, EMFILE in turn */
+    EPOLL_CREATES,   /* so many epoll_create1 fail, with EMFILE and ENOMEM in turn */
+    EVENTFDS,        /* so many eventfd fail with EMFILE */
+    EPOLL_ADD_AT,    /* the n-th epoll_ctl from now on that adds a descriptor fails with ENOMEM */
+    THREADS_FROM,    /* each pthread_create from the n-th of the process on fails with EAGAIN */
     FIELDS
 };
 
 static _Atomic int64_t *control;
-static _Atomic uint64_t accepts, sockets, connects, reads, writes;
+static _Atomic uint64_t accepts, sockets, connects, reads, writes, threads;
 
 static int64_t field(enum field which)
 {
@@ -76,10 +85,26 @@
     return 1;
 }
 
+/* Whether this is one of the calls that are still to fail; counts it down. */
+static int one_of(enum field left, const int *errors, int kinds)
+{
+    int64_t before = field(left);
+    while (before > 0 && !atomic_compare_exchange_weak(&control[left], &before, before - 1))
+        ;
+    if (before <= 0)
+        return 0;
+    errno = errors[before % kinds];
+    atomic_fetch_add(&control[FAILED_CALLS], 1);
+    return 1;
+}
+
 static const int accept_errors[] = {ENFILE, ENOBUFS, EMFILE, ECONNABORTED, EINTR, ENOMEM, EPROTO, ENETUNREACH};
 static const int socket_errors[] = {EMFILE, ENFILE, ENOBUFS, ENOMEM};
 static const int connect_errors[] = {EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, EAGAIN, EHOSTUNREACH, ETIMEDOUT};
 static const int interrupted[] = {EINTR};
+static const int config_errors[] = {EIO, ENOENT, EMFILE};
+static const int epoll_errors[] = {EMFILE, ENOMEM};
+static const int eventfd_errors[] = {EMFILE};
 
 #define KINDS(errors) ((int) (sizeof(errors) / sizeof(errors[0])))
 
@@ -220,6 +245,9 @@
     va_start(rest, flags);
     mode_t mode = flags & O_CREAT ? va_arg(rest, mode_t) : 0;
     va_end(rest);
+    const char *config = getenv("RELAY_CONFIG");
+    if (config != NULL && strcmp(config, path) == 0 && one_of(CONFIG_OPENS, config_errors, KINDS(config_errors)))
+        return -1;
     int64_t error = field(OPEN_ERRNO);
     if (error != 0 && (flags & O_ACCMODE) == O_RDONLY) {
         atomic_fetch_add(&control[FAILED_CALLS], 1);
@@ -229,6 +257,40 @@
     return next_open64(path, flags, mode);
 }
 
+int epoll_create1(int flags)
+{
+    NEXT(epoll_create1);
+    return one_of(EPOLL_CREATES, epoll_errors, KINDS(epoll_errors)) ? -1 : next_epoll_create1(flags);
+}
+
+int eventfd(unsigned int initial, int flags)
+{
+    NEXT(eventfd);
+    return one_of(EVENTFDS, eventfd_errors, KINDS(eventfd_errors)) ? -1 : next_eventfd(initial, flags);
+}
+
+int epoll_ctl(int epoll, int operation, int fd, struct epoll_event *event)
+{
+    NEXT(epoll_ctl);
+    if (operation == EPOLL_CTL_ADD && field(EPOLL_ADD_AT) > 0 && atomic_fetch_sub(&control[EPOLL_ADD_AT], 1) == 1) {
+        atomic_fetch_add(&control[FAILED_CALLS], 1);
+        errno = ENOMEM;
+        return -1;
+    }
+    return next_epoll_ctl(epoll, operation, fd, event);
+}
+
+int pthread_create(pthread_t *thread, const pthread_attr_t *attributes, void *(*start)(void *), void *argument)
+{
+    NEXT(pthread_create);
+    int64_t from = field(THREADS_FROM);
+    if ((int64_t) atomic_fetch_add(&threads, 1) + 1 >= from && from > 0) {
+        atomic_fetch_add(&control[FAILED_CALLS], 1);
+        return EAGAIN;
+    }
+    return next_pthread_create(thread, attributes, start, argument);
+}
+
 int clock_gettime(clockid_t clock, struct timespec *now)
 {
     NEXT(clock_gettime);
--- a/src/rig/java/reedspring/rig/FaultShim.java
+++ b/src/rig/java/reedspring/rig/FaultShim.java
@@ -41,7 +41,17 @@
         /** Counted by the library: how many calls it has failed. */
         FAILED_CALLS,
         /** The error of opening a file for reading. */
-        OPEN_ERRNO
+        OPEN_ERRNO,
+        /** So many opens of the configuration fail: EIO, ENOENT, EMFILE in turn. Counted down. */
+        CONFIG_OPENS,
+        /** So many epoll_create1 fail: EMFILE, ENOMEM in turn. Counted down. */
+        EPOLL_CREATES,
+        /** So many eventfd fail with EMFILE. Counted down. */
+        EVENTFDS,
+        /** The n-th registration with a selector from now on fails with ENOMEM. Counted down. */
+        EPOLL_ADD_AT,
+        /** Each pthread_create of the process from its n-th on fails with EAGAIN. */
+        THREADS_FROM
     }
 
     public static final int EIO = 5;
--- a/src/rig/java/reedspring/rig/Program.java
+++ b/src/rig/java/reedspring/rig/Program.java
@@ -171,6 +171,13 @@
         Rig.require(new ProcessBuilder("kill", name, pid).start().waitFor() == 0, "no " + name);
     }
 
+    /** One signal, so many times in a row. */
+    public void signals(String name, int times) throws IOException, InterruptedException {
+        String series = "i=0; while [ $i -lt " + times + " ]; do kill -" + name + " " + process.pid()
+                + " || exit 1; i=$((i+1)); done";
+        Rig.require(new ProcessBuilder("/bin/sh", "-c", series).start().waitFor() == 0, "no " + name);
+    }
+
     /** Puts another configuration in place, as a whole, and tells the front. */
     public void reload(String config) throws IOException, InterruptedException {
         Path next = Files.createTempFile("reedspring", ".json");
