Starts try again what may pass, signals take no threads, and no hook hides an exit code

Causes: a start tried its file, selector and loop once; the shutdown hook that SIGTERM ran ran for every end and halted with 0 (Startup.leave); the JDK starts a thread for each signal, SIGTERM's included, and Reloads.run held its lock while it slept. Change: StartAttempts (file 2.5 s, selector and thread 1.5 s each, address 3 s); Termination ends the process from the main thread, which stands from the start, with 0, 69 or 70, and 70 if the loop is stuck; Reloads is one thread with one reload wanted at the most; ProcessSignals has handlers run on the JVM's signal dispatcher by replacing its table (the manifest opens jdk.internal.misc; where that fails the JDK's way stays, and the log says so); the run line reads its file up to three times. FrontConfiguration out of Startup. Old tests of Reloads: the same two claims, without the locks that they looked for, and four more. Weighed and left: a native library (a build needs a compiler), -Xrs with blocked signals (SIGHUP is lost).

--- a/src/main/java/reedspring/net/HostRow.java
+++ b/src/main/java/reedspring/net/HostRow.java
@@ -34,7 +34,8 @@
                     kinds.computeIfAbsent(optional(host, "class"), Id.Kind::new),
                     zones.computeIfAbsent(optional(host, "site"), Id.Zone::new),
                     cells.computeIfAbsent(Json.whole(host, "block", 0), Id.Cell::new),
-                    health(Json.text(host, "health")), Startup.address(Json.text(host, "dial"), "dial"),
+                    health(Json.text(host, "health")),
+                    FrontConfiguration.address(Json.text(host, "dial"), "dial"),
                     Json.whole(host, "born_ms", 0));
         }
 
--- a/src/main/java/reedspring/net/Startup.java
+++ b/src/main/java/reedspring/net/Startup.java
@@ -11,73 +11,32 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.flush.FlushConsolidationHandler;
-import io.netty.util.NetUtil;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.Map;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.Supplier;
 import org.tinylog.provider.ProviderRegistry;
-import reedspring.boot.Boot;
 import reedspring.boot.BootException;
 import reedspring.settings.StandingOrders;
-import sun.misc.Signal;
-import sun.misc.SignalHandler;
 
 /** Reads the configuration, brings the front up on its loop, and takes it down when the platform says so. */
 public final class Startup {
     private static final int UNUSABLE = 78;
     private static final int UNAVAILABLE = 69;
-    private static final int LEAST_SOCKETS = 64;
-    /** As in the line that starts the program, which needs it before there is anything to read the file. */
-    private static final int USUAL_MEMORY_MB = 192;
-    private static final int LEAST_MEMORY_MB = 64;
     private static final long LOG_CLOSING_MS = 100;
-    private static final int LISTEN_TRIES = 60;
-    private static final long LISTEN_REST_MS = 50;
-    /** Over 1.5 s in all. */
-    private static final int RELOAD_TRIES = 5;
-    private static final long RELOAD_FIRST_REST_MS = 100;
     private static final long SPOOL_CLOSING_MS = 300;
+    private static final long REST_MS = 50;
+    /** 2.5 s at the most, 1.5 s and 3 s: together well under the time in which a front has to be ready. */
+    private static final StartAttempts FILE_READS = new StartAttempts(50, REST_MS);
+    private static final StartAttempts LOOP_STARTS = new StartAttempts(30, REST_MS);
+    private static final StartAttempts BINDS = new StartAttempts(60, REST_MS);
 
     private Startup() {
     }
 
-    /** All that the configuration file tells. */
-    record Orders(String name, InetSocketAddress listen, InetSocketAddress journal, long seed,
-                          Map<?, ?> known, Boot boot, Limits limits) {
-        static Orders read(String path) throws BootException {
-            Map<?, ?> file = file(path);
-            Boot boot = new Boot(Json.flat(Json.map(file.get("settings"), "settings")));
-            if (boot.deployment().groups().isEmpty()) {
-                throw new BootException("settings.classes", "missing");
-            }
-            long sockets = Json.whole(Json.map(file.get("limits"), "limits"), "sockets", 0);
-            if (sockets < LEAST_SOCKETS) {
-                throw new BootException("limits.sockets", "at least " + LEAST_SOCKETS + " are needed");
-            }
-            long memory = Json.whole(Json.map(file.get("limits"), "limits"), "memory_mb", USUAL_MEMORY_MB);
-            if (memory < LEAST_MEMORY_MB) {
-                throw new BootException("limits.memory_mb", "at least " + LEAST_MEMORY_MB + " are needed");
-            }
-            return new Orders(Json.text(file, "name"), address(Json.text(file, "listen"), "listen"),
-                    address(Json.text(file, "journal"), "journal"), seedOf(Json.text(file, "seed")),
-                    Json.map(file.get("known"), "known"), boot,
-                    new Limits(boot, (int) Math.min(sockets, Integer.MAX_VALUE), memory));
-        }
-    }
-
     /**
      * Serves until the process is ended, with what the installation switches on;
-     * returns an exit code only if the front can't come up. The caller has to halt with it, as an ordinary
-     * exit runs the hook that SIGTERM runs.
+     * returns its exit code. The caller has to halt with it: the event loop's thread still stands.
      */
     public static int serve(Map<String, String> environment, StandingOrders standing)
             throws InterruptedException {
@@ -99,124 +58,165 @@
 
     private static int serve(Map<String, String> environment, Additions additions)
             throws InterruptedException {
-        AtomicReference<Front> raised = new AtomicReference<>();
         String path = environment.get("RELAY_CONFIG");
-        // Both before all else: a signal that comes during the start would end the process, or be lost.
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(raised.get())));
-        // The JVM would end on SIGHUP. It hands each signal to a thread of its own, several at the same time.
-        // Started with SIGHUP ignored, as nohup does it, it leaves that so, and no reload would be heard.
+        // The signals before all else: one that comes during the start would end the process, or be lost.
+        Termination termination = new Termination();
         Reloads reloads = new Reloads();
-        boolean deaf = Signal.handle(new Signal("HUP"), signal -> reloads.wanted()) == SignalHandler.SIG_IGN;
-        Turns turns = new Turns();
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, turns);
-        EventLoop loop = group.next();
+        ProcessSignals signals = new ProcessSignals();
+        signals.handle("TERM", termination::request);
+        signals.handle("INT", termination::request);
+        // Started with SIGHUP ignored, as nohup does it, the JVM leaves that so, and no reload is heard.
+        boolean hearsReloads = signals.handle("HUP", reloads::request);
+        boolean threadless = signals.dispatchWithoutThreads();
         try {
-            Orders orders = Orders.read(path);
-            Journal journal = loop.submit(() -> raise(loop, turns, orders, additions, raised)).get();
-            Front front = raised.get();
-            reloads.by(() -> reloadUntilRead(loop, front, journal, path));
-            ChannelFuture bound = listen(() -> server(group, front, orders.limits()), orders.listen());
-            if (!bound.isSuccess()) {
-                System.err.println("reedspring: listen: " + bound.cause().getMessage());
-                Runtime.getRuntime().halt(UNAVAILABLE);
+            FrontConfiguration configuration =
+                    FILE_READS.of(() -> FrontConfiguration.read(path), IOException.class::isInstance);
+            Turns turns = new Turns();
+            EventLoop loop = LOOP_STARTS.of(() -> eventLoop(turns), Startup::lacksResource);
+            LOOP_STARTS.of(() -> runs(loop), Startup::lacksResource);
+            Started started = raise(loop, turns, configuration, additions, termination);
+            Front front = started.front();
+            if (startsReloads(reloads, front)) {
+                reloads.by(() -> reload(loop, front, started.journal(), path));
             }
-            if (deaf) {
+            Channel listener = BINDS.of(() -> bind(loop, front, configuration),
+                    failure -> lacksResource(failure) && !termination.isRequested());
+            if (!hearsReloads) {
                 front.log().line("SIGHUP is ignored by what started the front, no reload is heard", "");
             }
-            front.log().once("front " + orders.name() + " serves on", orders.listen().toString());
-            loop.execute(() -> front.atTheEnd(bound.channel()::close));
-            bound.channel().closeFuture().sync();
-            if (front.leaves()) {
-                // The hook that takes it down ends the process, once the last answers are read.
-                new CountDownLatch(1).await();
+            if (!threadless) {
+                front.log().line("each signal takes a new thread", "this JVM does not let that be changed");
             }
-            return UNAVAILABLE;
+            front.log().once("front " + configuration.name() + " serves on",
+                    configuration.listen().toString());
+            loop.execute(() -> front.atTheEnd(listener::close));
+            listener.closeFuture().addListener(closed -> {
+                if (!front.leaves()) {
+                    termination.fails(UNAVAILABLE);
+                }
+            });
+            int exitCode = termination.await();
+            close(front, reloads);
+            return exitCode;
         } catch (BootException e) {
             System.err.println("reedspring: configuration: " + e.getMessage());
             return UNUSABLE;
-        } catch (ExecutionException e) {
-            Throwable cause = e.getCause();
-            System.err.println("reedspring: configuration: "
-                    + (cause instanceof BootException ? cause.getMessage() : "known: " + cause));
+        } catch (UnavailableException e) {
+            if (termination.isRequested()) {
+                // Told to end while it waited for its address: nothing has been taken.
+                return Termination.ENDED;
+            }
+            System.err.println("reedspring: " + e.getMessage());
+            return UNAVAILABLE;
+        } catch (IOException e) {
+            System.err.println("reedspring: configuration: " + FrontConfiguration.unusable(e).getMessage());
             return UNUSABLE;
+        } catch (InterruptedException e) {
+            throw e;
+        } catch (Exception | Error e) {
+            System.err.println("reedspring: the start failed: " + e);
+            return Termination.SOFTWARE_FAULT;
         }
     }
 
-    /**
-     * Waits for the address for a while: the process before may not have gone yet, and the system may lack
-     * for a moment what a socket takes.
-     */
-    private static ChannelFuture listen(Supplier<ServerBootstrap> server, InetSocketAddress address)
-            throws InterruptedException {
-        ChannelFuture bound = server.get().bind(address).awaitUninterruptibly();
-        for (int tries = 1; tries < LISTEN_TRIES && !bound.isSuccess(); tries++) {
-            Thread.sleep(LISTEN_REST_MS);
-            bound = server.get().bind(address).awaitUninterruptibly();
+    /** What a start needs of the system was not to be had. */
+    private static final class UnavailableException extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        UnavailableException(String what, Throwable cause) {
+            super(what + ": " + cause.getMessage(), cause);
         }
-        return bound;
     }
 
-    /**
-     * One that is wanted before the front is up is made up for: the file may have been read just before.
-     * They are done one after another, or one that had read an earlier file could be the last to be in force.
-     */
-    static final class Reloads {
-        private final AtomicBoolean wanted = new AtomicBoolean();
-        private volatile Runnable reload = () -> { };
+    /** A front, and what it hears of engines by. */
+    private record Started(Front front, Journal journal) {
+    }
 
-        void wanted() {
-            wanted.set(true);
-            run();
+    /** A loop whose selector is open. */
+    private static EventLoop eventLoop(Turns turns) throws UnavailableException {
+        try {
+            return new MultiThreadIoEventLoopGroup(1, turns).next();
+        } catch (IllegalStateException e) {
+            throw new UnavailableException("event loop, epoll_create1 or eventfd", rootOf(e));
         }
+    }
 
-        void by(Runnable what) {
-            reload = () -> {
-                if (wanted.getAndSet(false)) {
-                    what.run();
-                }
-            };
-            run();
+    /** Starts the loop's thread. */
+    private static boolean runs(EventLoop loop) throws UnavailableException, InterruptedException,
+            ExecutionException {
+        try {
+            return loop.submit(() -> true).get();
+        } catch (OutOfMemoryError e) {
+            throw new UnavailableException("event loop, pthread_create", e);
         }
+    }
 
-        private synchronized void run() {
-            reload.run();
+    private static boolean lacksResource(Throwable failure) {
+        return failure instanceof UnavailableException;
+    }
+
+    private static Throwable rootOf(Throwable failure) {
+        Throwable root = failure;
+        while (root.getCause() != null) {
+            root = root.getCause();
         }
+        return root;
     }
 
-    private static Journal raise(EventLoop loop, Turns turns, Orders orders, Additions additions,
-                                 AtomicReference<Front> raised) throws BootException {
-        Log log = new Log(orders.limits(), additions == null ? null : additions.jsonLines());
-        Front front = new Front(loop, turns, orders.boot(), orders.limits(), log, orders.seed());
-        if (additions != null) {
-            additions.join(front, loop, orders.name());
+    private static Channel bind(EventLoop loop, Front front, FrontConfiguration configuration)
+            throws UnavailableException, InterruptedException {
+        ChannelFuture bound = server(loop, front, configuration.limits()).bind(configuration.listen())
+                .await();
+        if (!bound.isSuccess()) {
+            throw new UnavailableException("listen", bound.cause());
         }
-        raised.set(front);
-        return follow(loop, front, orders);
+        return bound.channel();
     }
 
-    /** Has the front hear what is known of engines, and what the journal service tells from then on. */
-    static Journal follow(EventLoop loop, Front front, Orders orders) throws BootException {
-        Journal journal = new Journal(loop, front, orders.limits(), orders.journal(), ~orders.seed());
-        front.newsFrom(journal::readNow);
-        journal.known(orders.known());
-        journal.follow();
-        return journal;
+    /** False if there is no thread to be had; the front serves all the same. */
+    private static boolean startsReloads(Reloads reloads, Front front) {
+        try {
+            reloads.start();
+            return true;
+        } catch (OutOfMemoryError e) {
+            front.log().line("no thread for reloads, SIGHUP is not heeded", e.getMessage());
+            return false;
+        }
     }
 
-    /** A file that is away or half written for a moment is read again: no further signal may come for it. */
-    private static void reloadUntilRead(EventLoop loop, Front front, Journal journal, String path) {
-        long rest = RELOAD_FIRST_REST_MS;
-        for (int tries = 1; !reload(loop, front, journal, path) && tries < RELOAD_TRIES; tries++) {
-            try {
-                Thread.sleep(rest);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                return;
+    private static Started raise(EventLoop loop, Turns turns, FrontConfiguration configuration,
+                                 Additions additions, Termination termination)
+            throws InterruptedException, BootException {
+        try {
+            return loop.submit(() -> {
+                Log log = new Log(configuration.limits(), additions == null ? null : additions.jsonLines());
+                Front front = new Front(loop, turns, configuration.boot(), configuration.limits(), log,
+                        configuration.seed());
+                if (additions != null) {
+                    additions.join(front, loop, configuration.name());
+                }
+                termination.raised(front);
+                return new Started(front, follow(loop, front, configuration));
+            }).get();
+        } catch (ExecutionException e) {
+            if (e.getCause() instanceof BootException wrong) {
+                throw wrong;
             }
-            rest *= 2;
+            throw new BootException("known", String.valueOf(e.getCause()));
         }
     }
 
+    /** Has the front hear what is known of engines, and what the journal service tells from then on. */
+    static Journal follow(EventLoop loop, Front front, FrontConfiguration configuration)
+            throws BootException {
+        Journal journal = new Journal(loop, front, configuration.limits(), configuration.journal(),
+                ~configuration.seed());
+        front.newsFrom(journal::readNow);
+        journal.known(configuration.known());
+        journal.follow();
+        return journal;
+    }
+
     /**
      * Takes over the journal service's address, the one thing that can change under a front that serves: the
      * rest is what its decisions and limits were made from. A file that can't be used changes nothing.
@@ -225,45 +225,34 @@
      */
     static boolean reload(EventLoop loop, Front front, Journal journal, String path) {
         try {
-            InetSocketAddress service = Orders.read(path).journal();
+            InetSocketAddress service = FrontConfiguration.read(path).journal();
             loop.execute(() -> {
                 front.log().line("configuration read again, journal at", service.toString());
                 journal.move(service);
             });
             return true;
+        } catch (IOException e) {
+            tellUnusable(loop, front, FrontConfiguration.unusable(e));
         } catch (BootException e) {
-            // A kind of its own for each fault, so that each is named.
-            String line = "configuration can't be used, nothing changed: " + e.getMessage();
-            loop.execute(() -> front.log().line(line, ""));
+            tellUnusable(loop, front, e);
         } catch (RuntimeException e) {
             loop.execute(() -> front.log().fault("configuration can't be used, nothing changed", e));
         }
         return false;
     }
 
-    /** Runs as a shutdown hook, on SIGTERM: holds the end up until the front has left, and makes it a 0. */
-    private static void leave(Front front) {
-        if (front == null) {
-            // Nothing has been taken yet.
-            Runtime.getRuntime().halt(0);
-        }
-        CountDownLatch left = new CountDownLatch(1);
-        front.loop().execute(() -> front.leave(left::countDown));
-        try {
-            left.await();
-            if (front.kept() != null && !front.kept().close(SPOOL_CLOSING_MS)) {
-                front.log().once("spool not closed,",
-                        "what it had begun is looked through at the next start");
-            }
-            // The last lines, unless nobody takes the log any more.
-            Thread closing = new Thread(Startup::closeLog);
-            closing.setDaemon(true);
-            closing.start();
-            closing.join(LOG_CLOSING_MS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+    /** A kind of line of its own for each fault, so that each is named. */
+    private static void tellUnusable(EventLoop loop, Front front, BootException wrong) {
+        String line = "configuration can't be used, nothing changed: " + wrong.getMessage();
+        loop.execute(() -> front.log().line(line, ""));
+    }
+
+    /** The front has left: what it kept, and the last lines, unless nobody takes the log any more. */
+    private static void close(Front front, Reloads reloads) throws InterruptedException {
+        if (front.kept() != null && !front.kept().close(SPOOL_CLOSING_MS)) {
+            front.log().once("spool not closed,", "what it had begun is looked through at the next start");
         }
-        Runtime.getRuntime().halt(0);
+        reloads.finish(Startup::closeLog, LOG_CLOSING_MS);
     }
 
     private static void closeLog() {
@@ -303,47 +292,12 @@
     /** What is wrong with a configuration file, or null. */
     public static String fault(String path) {
         try {
-            Orders.read(path);
+            FrontConfiguration.read(path);
             return null;
+        } catch (IOException e) {
+            return FrontConfiguration.unusable(e).getMessage();
         } catch (BootException e) {
             return e.getMessage();
         }
     }
-
-    private static Map<?, ?> file(String path) throws BootException {
-        if (path == null || path.isEmpty()) {
-            throw new BootException("RELAY_CONFIG", "missing");
-        }
-        try {
-            byte[] text = Files.readAllBytes(Path.of(path));
-            return Json.map(Json.read(text, text.length, "known.entries.hosts.hosts",
-                    new HostRow.Reader(Integer.MAX_VALUE)), "RELAY_CONFIG");
-        } catch (IOException e) {
-            throw new BootException("RELAY_CONFIG", "can't be read: " + String.valueOf(e.getMessage()).lines()
-                    .findFirst().orElse(""));
-        }
-    }
-
-    private static long seedOf(String text) throws BootException {
-        try {
-            return Long.parseUnsignedLong(text, 16);
-        } catch (NumberFormatException e) {
-            throw new BootException("seed", "'" + text + "' is no hexadecimal number");
-        }
-    }
-
-    /** Only figures: there is no name service. */
-    static InetSocketAddress address(String text, String field) throws BootException {
-        int colon = text.lastIndexOf(':');
-        byte[] host = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
-        try {
-            int port = Integer.parseInt(text.substring(colon + 1));
-            if (host != null && port > 0 && port < 1 << 16) {
-                return new InetSocketAddress(InetAddress.getByAddress(host), port);
-            }
-        } catch (NumberFormatException | UnknownHostException e) {
-            // reported below
-        }
-        throw new BootException(field, "'" + text + "' is no address with a port");
-    }
 }
--- a/src/rig/java/reedspring/net/HollowFront.java
+++ b/src/rig/java/reedspring/net/HollowFront.java
@@ -6,6 +6,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.Closeable;
+import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -109,8 +110,8 @@
         on.loop.execute(this::begin);
     }
 
-    private Object[] raise(Path config) throws BootException {
-        Startup.Orders orders = Startup.Orders.read(config.toString());
+    private Object[] raise(Path config) throws BootException, IOException {
+        FrontConfiguration orders = FrontConfiguration.read(config.toString());
         Log log = new Log(orders.limits(), this::line);
         Front made = new Front(on.loop, on.turns, orders.boot(), orders.limits(), log, orders.seed(),
                 Runner::new);
--- a/src/test/java/reedspring/net/FailingCallsIT.java
+++ b/src/test/java/reedspring/net/FailingCallsIT.java
@@ -8,6 +8,7 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
 import reedspring.rig.Client;
@@ -68,6 +69,43 @@
         servesDespite(Fault.EPOLL_CREATES, 2);
     }
 
+    @Example
+    void anEventDescriptorThatCanNotBeHadForAMomentIsWaitedFor() throws Exception {
+        servesDespite(Fault.EVENTFDS, 1);
+    }
+
+    @Example
+    void aSelectorThatCanNotBeHadEndsTheStartWithItsName() throws Exception {
+        begin(Fault.EPOLL_CREATES, MANY);
+        endsNaming(UNAVAILABLE, "epoll_create1");
+    }
+
+    /** The shell of the run line reads the file, too, before there is a program. */
+    @Example
+    void aConfigurationThatCanNotBeReadForAMomentIsReadAgain() throws Exception {
+        servesDespite(Fault.CONFIG_OPENS, 6);
+    }
+
+    @Example
+    void aConfigurationThatCanNotBeReadEndsTheStartWithItsName() throws Exception {
+        begin(Fault.CONFIG_OPENS, MANY);
+        endsNaming(UNUSABLE, "RELAY_CONFIG");
+    }
+
+    /** Whichever socket of the start it is: wake-up, discovery, listener, the first client, its engine. */
+    @Example
+    void noRegistrationThatFailsOnceKeepsAFrontFromServing() throws Exception {
+        for (int which = 1; which <= 5; which++) {
+            begin(Fault.EPOLL_ADD_AT, which);
+            front.ready();
+            long began = System.nanoTime();
+            serves();
+            long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began);
+            assertTrue(took < 2 * FOUND_MS, "registration " + which + ": served after " + took + " ms");
+            front.close();
+        }
+    }
+
     @Example
     void aClientsConnectionThatCouldNotBeRegisteredIsFoundAndServed() throws Exception {
         begin(Fault.EPOLL_ADD_AT, 0);
@@ -86,6 +124,41 @@
         assertTrue(front.logged("registered anew"), front.log::toString);
     }
 
+    /** Signals in series while the file is away: their number bounds neither threads nor memory. */
+    @Example
+    void signalsInSeriesTakeNeitherThreadsNorMemoryAndTheEndIsHeard() throws Exception {
+        begin(Fault.EPOLL_ADD_AT, 0);
+        front.ready();
+        serves();
+        front.signal("-HUP");
+        await("a first reload", () -> front.logged("configuration read again"));
+        Thread.sleep(500);
+        long threads = status("Threads");
+        long peak = status("VmHWM");
+        Files.delete(front.file());
+        CompletableFuture<Void> signals = CompletableFuture.runAsync(() -> {
+            try {
+                front.signals("HUP", SIGNALS);
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        long most = 0;
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(2);
+        while (!signals.isDone() || System.nanoTime() < until) {
+            most = Math.max(most, status("Threads"));
+        }
+        signals.get();
+        assertTrue(most <= threads + MORE_THREADS, most + " threads, " + threads + " at rest");
+        long grown = status("VmHWM") - peak;
+        assertTrue(grown <= MORE_KB, "memory grew by " + grown + " kB");
+        serves();
+        front.signal("-TERM");
+        assertTrue(front.process.waitFor(ENDS_S, TimeUnit.SECONDS), "SIGTERM is not heard");
+        assertEquals(0, front.process.exitValue());
+    }
+
+    /** The JDK brings a signal on a thread that it makes for it. */
     @Example
     void aFrontThatCanHaveNoMoreThreadsEndsInOrder() throws Exception {
         begin(Fault.EPOLL_ADD_AT, 0);
--- a/src/test/java/reedspring/net/LoopTest.java
+++ b/src/test/java/reedspring/net/LoopTest.java
@@ -196,7 +196,7 @@
 
     private static Host listed(String name, EngineStandIn engine, Event.Health health) throws Exception {
         return new Host(new Event.Listing(new Id.Engine(name), new Id.Kind("m"), new Id.Zone("a"),
-                new Id.Cell(0), health, 0), Startup.address(engine.address(), "dial"), 0);
+                new Id.Cell(0), health, 0), FrontConfiguration.address(engine.address(), "dial"), 0);
     }
 
     /** Queries first, then the notice, and both are in the sockets when the loop goes on. */
@@ -210,7 +210,7 @@
         journal.tell(true, host("e0", drained.address(), "ready"), host("e1", other.address(), "ready"));
         onLoop(() -> {
             Journal follower = new Journal(loop, front, limits,
-                    Startup.address(journal.address(), "journal"), 1);
+                    FrontConfiguration.address(journal.address(), "journal"), 1);
             front.newsFrom(follower::readNow);
             follower.follow();
             return null;
@@ -267,7 +267,8 @@
             journal.tell(k % 10 == 9, host("e" + k, engine.address(), "ready"));
         }
         Journal follower = onLoop(() -> {
-            Journal made = new Journal(loop, front, limits, Startup.address(journal.address(), "journal"), 1);
+            Journal made = new Journal(loop, front, limits,
+                    FrontConfiguration.address(journal.address(), "journal"), 1);
             made.follow();
             return made;
         });
