Sockets that the selector does not know are found; a command or a result is written whole

Causes: the JDK's selector passes over the result of epoll_ctl, so a socket whose registration failed was never read. Netty's encoder writes the parts that it has where memory for the next is lacking (the finally block of MessageToMessageEncoder.write): the engine took the next command for the rest, so that a front could send what no client had sent; results to clients went out in parts likewise. Change: while the selector has told of nothing at a socket it is looked into each 250 ms (listener, clients; engines while something is out), bytes that do not move are tried past it, and it is registered anew, counted and told. WholeCommandEncoder and RpcWriter.rows hand over one message or none; a submission whose command could not be written never ran.

--- a/src/main/java/reedspring/net/AcceptGuard.java
+++ b/src/main/java/reedspring/net/AcceptGuard.java
@@ -27,6 +27,9 @@
     private boolean acceptingAll;
     private boolean failed;
     private boolean rests;
+    private Channel listener;
+    /** The selector has told of a connection, so that it knows the listener. */
+    private boolean told;
 
     AcceptGuard(Front front) {
         this.front = front;
@@ -45,11 +48,26 @@
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         arrival = new ArrivalBound(front.turns(), front.clock(), front.clock().now());
+        listener = ctx.channel();
+    }
+
+    /** Accepts by itself while the selector has told of no connection: it may not know the listener. */
+    void tick() {
+        if (told || rests || listener == null || !listener.isActive()) {
+            return;
+        }
+        int before = accepted;
+        acceptAll(listener);
+        if (accepted > before) {
+            accepted = 0;
+            front.registersAnew(listener);
+        }
     }
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object connection) {
         accepted++;
+        told |= !acceptingAll;
         backoff.succeeded();
         ctx.fireChannelRead(connection);
     }
--- a/src/main/java/reedspring/net/ClientConnection.java
+++ b/src/main/java/reedspring/net/ClientConnection.java
@@ -5,7 +5,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderException;
 import java.io.IOException;
@@ -146,9 +145,10 @@
         if (reads.remove(id) && channel.channel().isActive()) {
             use();
             int length = text.readableBytes();
-            channel.write(RpcWriter.rowsHead(channel.alloc(), id, length));
-            channel.write(text);
-            answer(RpcWriter.rowsTail(channel.alloc(), "sheet", Integer.toString(sheet)), length, null);
+            ByteBuf whole = RpcWriter.rows(channel.alloc(), id, List.of(text), "sheet",
+                    Integer.toString(sheet));
+            text.release();
+            answer(whole, length, null);
         }
     }
 
@@ -203,9 +203,7 @@
         open.remove(q.messageId);
         use();
         int length = pages.stream().mapToInt(ByteBuf::readableBytes).sum();
-        channel.write(RpcWriter.rowsHead(channel.alloc(), q.messageId, length));
-        pages.forEach(page -> channel.write(page.retain()));
-        answer(RpcWriter.rowsTail(channel.alloc()), length, q);
+        answer(RpcWriter.rows(channel.alloc(), q.messageId, pages), length, q);
     }
 
     /** The first page of an answer that is kept, and how to come for the others. */
@@ -213,11 +211,9 @@
         open.remove(q.messageId);
         use();
         ByteBuf first = s.pages[0];
-        int length = first.readableBytes();
-        channel.write(RpcWriter.rowsHead(channel.alloc(), q.messageId, length));
-        channel.write(first.retain());
-        answer(RpcWriter.rowsTail(channel.alloc(), "sheets", Integer.toString(s.sheets), "handle",
-                s.handle, "kept", Long.toString(s.keptForMs)), length, q);
+        answer(RpcWriter.rows(channel.alloc(), q.messageId, List.of(first), "sheets",
+                Integer.toString(s.sheets), "handle", s.handle, "kept", Long.toString(s.keptForMs)),
+                first.readableBytes(), q);
     }
 
     /** A retry is safe; {@code comeBack} in tenths, 0 for no time named. */
@@ -306,12 +302,21 @@
     }
 
     private long pending() {
-        ChannelOutboundBuffer out = channel.channel().unsafe().outboundBuffer();
-        return out == null ? 0 : out.totalPendingWriteBytes();
+        return SocketReads.pending(channel.channel());
+    }
+
+    /** Sees to a connection that the selector does not know, or does not know to be waited for. */
+    private void lookPastSelector() {
+        Channel connection = channel.channel();
+        boolean waitsUnsent = pending() > 0 && pending() >= unsentBytes && !progress;
+        if (!ending && socket.findsUntold(connection) || waitsUnsent && SocketReads.sendsUntold(connection)) {
+            front.registersAnew(connection);
+        }
     }
 
     /** Cuts off a client that takes nothing any more: what waits for it takes room from others' answers. */
     void tick(long now) {
+        lookPastSelector();
         long waits = pending();
         if (waits == 0 || waits < unsentBytes || progress) {
             sentAt = now;
--- a/src/main/java/reedspring/net/EngineConnection.java
+++ b/src/main/java/reedspring/net/EngineConnection.java
@@ -13,9 +13,9 @@
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.handler.codec.redis.FullBulkStringRedisMessage;
 import io.netty.handler.codec.redis.RedisDecoder;
-import io.netty.handler.codec.redis.RedisEncoder;
 import io.netty.handler.codec.redis.RedisMessage;
 import io.netty.handler.flush.FlushConsolidationHandler;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ClosedChannelException;
@@ -76,7 +76,7 @@
             @Override
             protected void initChannel(Channel made) {
                 made.pipeline().addLast(reads, new FlushConsolidationHandler(limits.flushes, true),
-                        new RedisEncoder(), new RedisDecoder(), decoder, self);
+                        new WholeCommandEncoder(), new RedisDecoder(), decoder, self);
             }
         }).connect(address);
         channel = dialled.channel();
@@ -168,31 +168,38 @@
         s.connection = null;
     }
 
-    /** Writes it out at once: what waits for others could stand here while the process is stopped. */
-    void depart(Submission s) {
+    /**
+     * Writes it out at once: what waits for others could stand here while the process is stopped.
+     *
+     * @return false if there was no memory for its command; nothing of it was written then
+     */
+    boolean depart(Submission s) {
         OpenQuery q = s.query;
         lastUsedAt = front.clock().now();
         rested = true;
         s.sentAt = lastUsedAt;
         q.firstSentAt = q.firstSentAt == 0 ? lastUsedAt : q.firstSentAt;
-        s.written = true;
         long left = Math.max(1, (s.timeoutAt - lastUsedAt) / 10);
-        channel.write(message(q.statement.retainedDuplicate(), "fetch", q.trace, "lane=" + q.group + ",ttl="
-                + left + (q.priority >= 0 ? ",urgency=" + q.priority : "")
-                + (q.mark != null ? ",dedupe=" + q.mark : "")));
+        String fields = "lane=" + q.group + ",ttl=" + left + (q.priority >= 0 ? ",urgency=" + q.priority : "")
+                + (q.mark != null ? ",dedupe=" + q.mark : "");
+        if (!written(q.statement, "fetch", q.trace, fields)) {
+            return false;
+        }
+        s.written = true;
         // Past the handler that gathers flushes until the turn's end.
         channel.pipeline().context(FlushConsolidationHandler.class).flush();
+        return true;
     }
 
     void renice(Submission s) {
         if (s.written) {
-            command(null, "renice", s.query.trace, Integer.toString(s.query.priority));
+            command("renice", s.query.trace, Integer.toString(s.query.priority));
         }
     }
 
     void cancel(Submission s) {
         if (s.written) {
-            command(null, "abort", s.query.trace);
+            command("abort", s.query.trace);
         }
     }
 
@@ -200,7 +207,7 @@
     void drop(Submission s) {
         if (open.remove(s.query.trace, s)) {
             if (s.sheets > 1 && up) {
-                command(null, "done", s.query.trace);
+                command("done", s.query.trace);
             }
             if (s.written && (s.pages == null || s.missing > 0)) {
                 keepLatest(spent, s.query.trace);
@@ -235,13 +242,23 @@
         if (open.isEmpty() && running.isEmpty() && now - lastUsedAt >= limits.engineIdle * 10L) {
             close();
         }
+        if (up) {
+            lookPastSelector();
+        }
         if (up && stopsShort()) {
             front.log().line("engine connection closed, an answer does not end", engine);
             close();
         }
         if (up && !open.isEmpty() && askedAt < 0 && now - heardAt >= limits.engineSilence * 10L) {
             askedAt = now;
-            command(null, "alive", "front");
+            command("alive", "front");
+        }
+    }
+
+    /** Sees to a connection that the selector does not know, or does not know to be waited for. */
+    private void lookPastSelector() {
+        if (!open.isEmpty() && reads.findsUntold(channel) || SocketReads.sendsUntold(channel)) {
+            front.registersAnew(channel);
         }
     }
 
@@ -263,17 +280,42 @@
         }
     }
 
-    private void command(ByteBuf body, String... words) {
-        channel.writeAndFlush(message(body, words));
+    private void command(String... words) {
+        if (written(null, words)) {
+            channel.flush();
+        }
+    }
+
+    /**
+     * Hands a command to the socket; false if nothing of it was written, as there was no memory for it or the
+     * connection had gone.
+     */
+    private boolean written(ByteBuf body, String... words) {
+        Throwable failure;
+        try {
+            failure = channel.write(message(body, words)).cause();
+        } catch (OutOfMemoryError e) {
+            failure = e;
+        }
+        if (failure != null && !(failure instanceof ClosedChannelException)) {
+            front.log().fault("command to an engine not written", failure);
+        }
+        return failure == null;
     }
 
+    /** A command of these words, and of a body that stays its owner's, or null. */
     private ArrayRedisMessage message(ByteBuf body, String... words) {
         List<RedisMessage> parts = new ArrayList<>(words.length + 1);
-        for (String word : words) {
-            parts.add(new FullBulkStringRedisMessage(ByteBufUtil.writeUtf8(channel.alloc(), word)));
+        try {
+            for (String word : words) {
+                parts.add(new FullBulkStringRedisMessage(ByteBufUtil.writeUtf8(channel.alloc(), word)));
+            }
+        } catch (RuntimeException | Error e) {
+            parts.forEach(ReferenceCountUtil::release);
+            throw e;
         }
         if (body != null) {
-            parts.add(new FullBulkStringRedisMessage(body));
+            parts.add(new FullBulkStringRedisMessage(body.retainedDuplicate()));
         }
         return new ArrayRedisMessage(parts);
     }
@@ -335,7 +377,7 @@
 
     /** Wanted for the spool, as far as it has room. */
     void more(Submission s, int page) {
-        command(null, "more", s.query.trace, Integer.toString(page));
+        command("more", s.query.trace, Integer.toString(page));
     }
 
     private void data(Submission s, AnswerDecoder.Answer answer, boolean late) {
@@ -349,7 +391,7 @@
         if (s == null || s.pages != null) {
             // An engine that sends and does not read gets no more than its buffer holds.
             if (s == null && sheets > 1 && late && channel.isWritable()) {
-                command(null, "done", answer.id());
+                command("done", answer.id());
             }
             return;
         }
@@ -380,7 +422,7 @@
             return;
         }
         for (int k = 1; k < s.pages.length; k++) {
-            command(null, "more", answer.id(), Integer.toString(k));
+            command("more", answer.id(), Integer.toString(k));
         }
     }
 
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -536,11 +536,12 @@
         // The looks above may have taken time, too.
         Verdict verdict = s.query.lifecycle.send(new SendFacts(clock.now(), s.timeoutAt, s.departBy,
                 clientThere, s.connection.departable()));
-        if (verdict.allowed()) {
+        if (!verdict.allowed()) {
+            withhold(s, verdict);
+        } else if (s.connection.depart(s)) {
             s.query.history.add(Step.SENT, null, clock.now());
-            s.connection.depart(s);
         } else {
-            withhold(s, verdict);
+            closed(s, Outcome.NOT_SENT);
         }
     }
 
@@ -632,6 +633,9 @@
         timers.in(limits.tick * 10L, this::tick);
         long now = clock.now();
         engines.tick(now);
+        if (listener != null) {
+            listener.tick();
+        }
         if (kept != null) {
             kept.tick();
         }
@@ -692,6 +696,13 @@
         listener = guard;
     }
 
+    /** The selector did not tell of what lay in a socket, or could go out there. */
+    void registersAnew(Channel socket) {
+        log.line("socket not known to the selector, registered anew", String.valueOf(socket.remoteAddress()));
+        counters.add(SocketFault.NOT_REGISTERED);
+        Registration.renew(socket, turns);
+    }
+
     /** Whether connections may wait that could not be accepted yet. */
     boolean mayHoldUnaccepted() {
         return listener != null && listener.rests();
--- a/src/main/java/reedspring/net/RpcWriter.java
+++ b/src/main/java/reedspring/net/RpcWriter.java
@@ -2,15 +2,37 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.CompositeByteBuf;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 
-/** The heads and tails of answers to clients; the rows between them go out as the engine's buffers. */
+/** Answers to clients; the rows of a result go out as the engine's buffers. */
 final class RpcWriter {
     private RpcWriter() {
     }
 
+    /**
+     * A result, as one message: where memory is lacking for a part of it, nothing of it is written, and what
+     * goes out next is not taken for its rest.
+     *
+     * @param pages the rows, which stay their owner's
+     * @param fields up to 15, name and value in turn
+     */
+    static ByteBuf rows(ByteBufAllocator buffers, long id, List<ByteBuf> pages, String... fields) {
+        int length = pages.stream().mapToInt(ByteBuf::readableBytes).sum();
+        CompositeByteBuf whole = buffers.compositeBuffer(pages.size() + 2);
+        try {
+            whole.addComponent(true, rowsHead(buffers, id, length));
+            pages.forEach(page -> whole.addComponent(true, page.retain()));
+            return whole.addComponent(true, rowsTail(buffers, fields));
+        } catch (RuntimeException | Error e) {
+            whole.release();
+            throw e;
+        }
+    }
+
     /** What stands before a result of that many bytes. */
-    static ByteBuf rowsHead(ByteBufAllocator buffers, long id, int length) {
+    private static ByteBuf rowsHead(ByteBufAllocator buffers, long id, int length) {
         ByteBuf out = begin(buffers, id);
         out.writeByte(0xc0).writeByte(0x92);
         if (length < 1 << 8) {
@@ -24,7 +46,7 @@
     }
 
     /** What stands behind it: up to 15 fields, name and value in turn. */
-    static ByteBuf rowsTail(ByteBufAllocator buffers, String... fields) {
+    private static ByteBuf rowsTail(ByteBufAllocator buffers, String... fields) {
         ByteBuf out = buffers.buffer(128).writeByte(0x80 | fields.length / 2);
         for (String each : fields) {
             text(out, each);
--- a/src/main/java/reedspring/net/SocketReads.java
+++ b/src/main/java/reedspring/net/SocketReads.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.nio.AbstractNioChannel;
 
@@ -19,6 +20,8 @@
     private final ArrivalBound arrival;
     private long bytes;
     private boolean readingAll;
+    /** The selector has told of something here, so that it knows the socket. */
+    private boolean told;
 
     /** Of a connection on which nobody asks when bytes came. */
     SocketReads() {
@@ -56,8 +59,43 @@
         }
     }
 
+    /**
+     * Looks into a socket of which the selector has told nothing so far, as it may not know of it.
+     *
+     * @return whether something lay there that it had not told of
+     */
+    boolean findsUntold(Channel socket) {
+        if (told || !socket.isActive()) {
+            return false;
+        }
+        long before = bytes;
+        readAll(socket);
+        return bytes > before;
+    }
+
+    /** What waits to be sent on a socket, in bytes. */
+    static long pending(Channel socket) {
+        ChannelOutboundBuffer out = socket.unsafe().outboundBuffer();
+        return out == null ? 0 : out.totalPendingWriteBytes();
+    }
+
+    /**
+     * Tries to send what waits, though the selector has not told that the socket takes more.
+     *
+     * @return whether it did take something
+     */
+    static boolean sendsUntold(Channel socket) {
+        long before = pending(socket);
+        if (before == 0 || !(socket.unsafe() instanceof AbstractNioChannel.NioUnsafe writer)) {
+            return false;
+        }
+        writer.forceFlush();
+        return pending(socket) < before;
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
+        told |= !readingAll;
         bytes += ((ByteBuf) message).readableBytes();
         ctx.fireChannelRead(message);
     }
--- a/src/test/java/reedspring/net/LoopTest.java
+++ b/src/test/java/reedspring/net/LoopTest.java
@@ -183,6 +183,31 @@
                 "begun 300 ms after its time");
     }
 
+    /** Whatever fails in carrying a decision out, its query has an answer in its time. */
+    @Example
+    void anErrorOnTheLoopCostsNoAnswer() throws Exception {
+        EngineStandIn engine = open(new EngineStandIn(EngineStandIn.pages(1)));
+        int port = serving(engine);
+        decided = () -> {
+            throw new OutOfMemoryError("forced");
+        };
+        long began = System.nanoTime();
+        Client client = open(new Client(port));
+        assertEquals(1L, asked(client, 1, 300).get(1));
+        assertTrue(System.nanoTime() - began < TimeUnit.MILLISECONDS.toNanos(800), "late");
+        assertEquals(null, asked(client, 2, 5_000).get(2));
+    }
+
+    /** A listener may have no socket for a while; the looks at all connections go on meanwhile. */
+    @Example
+    void aListenerThatHasNoSocketYetHoldsUpNoLookAtConnections() throws Exception {
+        int port = serving(open(new EngineStandIn(EngineStandIn.pages(1))));
+        onLoop(() -> Startup.server(loop, front, limits));
+        Client silent = open(new Client(port));
+        silent.socket.setSoTimeout(limits.tick * (limits.silentTicks + 6));
+        assertTrue(silent.ended(), "it is looked at, and ended as it sends nothing");
+    }
+
     @AfterTry
     void closeAll() throws Exception {
         for (AutoCloseable what : opened) {
