A front is gone 0.2 s before SIGKILL can come; what lay in an unknown socket counts as old

Causes: the end was planned for long deadlines (0.8 s of quiet, 0.3 s over the timeout, 0.3 s to read): with a timeout of 100 ms it came after SIGKILL, with 1.2 s 0.1 s before it at the most, which is why FrontIT.theEndComesBeforeSigkill... failed now and then. And the looks past the selector dated what they found by polls that had not seen the socket. Change: Limits reckons back from SIGKILL (answered 0.45 s, shut 0.35 s, gone 0.2 s before it, quiet 0.8 s at the most); ArrivalBound.earliestUntold bounds by the last look.

--- a/src/main/java/reedspring/net/AcceptGuard.java
+++ b/src/main/java/reedspring/net/AcceptGuard.java
@@ -30,6 +30,8 @@
     private Channel listener;
     /** The selector has told of a connection, so that it knows the listener. */
     private boolean told;
+    private boolean lookingPastSelector;
+    private long seenEmptyAt;
 
     AcceptGuard(Front front) {
         this.front = front;
@@ -42,13 +44,14 @@
 
     /** For the connection that is being accepted: it was not there before. In tenths of a millisecond. */
     long earliestArrival() {
-        return arrival.earliest();
+        return lookingPastSelector ? arrival.earliestUntold(seenEmptyAt) : arrival.earliest();
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         arrival = new ArrivalBound(front.turns(), front.clock(), front.clock().now());
         listener = ctx.channel();
+        seenEmptyAt = front.clock().now();
     }
 
     /** Accepts by itself while the selector has told of no connection: it may not know the listener. */
@@ -57,7 +60,14 @@
             return;
         }
         int before = accepted;
-        acceptAll(listener);
+        long now = front.clock().now();
+        lookingPastSelector = true;
+        try {
+            acceptAll(listener);
+        } finally {
+            lookingPastSelector = false;
+            seenEmptyAt = now;
+        }
         if (accepted > before) {
             accepted = 0;
             front.registersAnew(listener);
--- a/src/main/java/reedspring/net/ArrivalBound.java
+++ b/src/main/java/reedspring/net/ArrivalBound.java
@@ -26,6 +26,16 @@
         this.unprovenTurn = turns.number();
     }
 
+    /**
+     * The same where the selector has told of nothing at the socket so far: it may not know it, and then its
+     * polls prove nothing.
+     *
+     * @param seenEmptyAt when a look past the selector last found the socket empty
+     */
+    long earliestUntold(long seenEmptyAt) {
+        return Math.min(earliest(), seenEmptyAt);
+    }
+
     /** For what is read in this turn: it came then at the earliest. In tenths of a millisecond. */
     long earliest() {
         if (unprovenTurn < turns.number() - 1) {
--- a/src/main/java/reedspring/net/ClientConnection.java
+++ b/src/main/java/reedspring/net/ClientConnection.java
@@ -309,7 +309,8 @@
     private void lookPastSelector() {
         Channel connection = channel.channel();
         boolean waitsUnsent = pending() > 0 && pending() >= unsentBytes && !progress;
-        if (!ending && socket.findsUntold(connection) || waitsUnsent && SocketReads.sendsUntold(connection)) {
+        boolean found = !ending && socket.findsUntold(connection, front.clock().now());
+        if (found || waitsUnsent && SocketReads.sendsUntold(connection)) {
             front.registersAnew(connection);
         }
     }
--- a/src/main/java/reedspring/net/EngineConnection.java
+++ b/src/main/java/reedspring/net/EngineConnection.java
@@ -257,7 +257,8 @@
 
     /** Sees to a connection that the selector does not know, or does not know to be waited for. */
     private void lookPastSelector() {
-        if (!open.isEmpty() && reads.findsUntold(channel) || SocketReads.sendsUntold(channel)) {
+        if (!open.isEmpty() && reads.findsUntold(channel, front.clock().now())
+                || SocketReads.sendsUntold(channel)) {
             front.registersAnew(channel);
         }
     }
--- a/src/main/java/reedspring/net/Limits.java
+++ b/src/main/java/reedspring/net/Limits.java
@@ -101,11 +101,22 @@
     /** An alarm that is later than this shows that the loop stood still. */
     final int stoodStill = 50;
 
-    // The end. Requests come for 0.6 s after SIGTERM; SIGKILL comes 0.7 s past the longest queue timeout,
-    // which counts as 3 s where it is longer.
-    final int leavingQuiet = 800;
+    // The end. SIGKILL comes 0.7 s past the longest queue timeout, which counts as 3 s where it is longer.
+    // New connections come for 0.4 s after SIGTERM, requests on open ones for as long as they are open.
+    private static final int LONGEST_TIMEOUT_WHILE_LEAVING = 3_000;
+    private static final int KILLED_AFTER_TIMEOUT = 700;
+    /** Before SIGKILL: for the last answers to go out, for clients to read them, for the process to end. */
+    private static final int ANSWERED_BEFORE_KILL = 450;
+    private static final int SHUT_BEFORE_KILL = 350;
+    private static final int GONE_BEFORE_KILL = 200;
+    private static final int USUAL_LEAVING_QUIET = 800;
+    /** Since SIGTERM: until then connections stay open, also where nothing is out. */
+    final int leavingQuiet;
+    /** Since SIGTERM: by then all that was taken is answered. */
     final int leavingLongest;
-    /** What clients may take after that to read their last answers and to end their side. */
+    /** Since SIGTERM: by then clients have had their time to read their last answers. */
+    final int leavingGone;
+    /** What clients have for that at the most. */
     final int leavingFlush = 300;
 
     /** Between two looks at all connections. */
@@ -140,7 +151,12 @@
         engineIdle = (int) (boot.number("allowed.idleCloseMs", 30_000) * 0.8);
         double longest = boot.longestTimeout();
         longestPatience = longest > 0 ? 2 * longest : 1e9;
-        leavingLongest = (int) (longest > 0 ? Math.min(longest, 3_000) : 3_000) + 300;
+        int timeout = longest > 0 ? (int) Math.min(longest, LONGEST_TIMEOUT_WHILE_LEAVING)
+                : LONGEST_TIMEOUT_WHILE_LEAVING;
+        int killed = timeout + KILLED_AFTER_TIMEOUT;
+        leavingQuiet = Math.min(USUAL_LEAVING_QUIET, killed - SHUT_BEFORE_KILL);
+        leavingLongest = killed - ANSWERED_BEFORE_KILL;
+        leavingGone = killed - GONE_BEFORE_KILL;
         Deployment.Allowed allowed = boot.deployment().allowed();
         comeBack = allowed.comeBack() ? (int) (allowed.longestComeBack() / 10) : 0;
     }
--- a/src/main/java/reedspring/net/Shutdown.java
+++ b/src/main/java/reedspring/net/Shutdown.java
@@ -55,7 +55,7 @@
         }
         front.closeListener();
         roster.open().forEach(client -> client.shut(CloseReason.FRONT_ENDS));
-        lingerOn(front.clock().now(), since + (limits.leavingLongest + limits.leavingFlush) * 10L);
+        lingerOn(front.clock().now(), since + limits.leavingGone * 10L);
     }
 
     private void lookLater() {
--- a/src/main/java/reedspring/net/SocketReads.java
+++ b/src/main/java/reedspring/net/SocketReads.java
@@ -22,6 +22,8 @@
     private boolean readingAll;
     /** The selector has told of something here, so that it knows the socket. */
     private boolean told;
+    private boolean lookingPastSelector;
+    private long seenEmptyAt;
 
     /** Of a connection on which nobody asks when bytes came. */
     SocketReads() {
@@ -30,6 +32,7 @@
 
     SocketReads(ArrivalBound arrival) {
         this.arrival = arrival;
+        this.seenEmptyAt = arrival == null ? 0 : arrival.earliest();
     }
 
     /** The bytes that have come so far. */
@@ -39,7 +42,7 @@
 
     /** Of what is read now: when it came at the earliest. In tenths of a millisecond. */
     long earliestArrival() {
-        return arrival.earliest();
+        return lookingPastSelector ? arrival.earliestUntold(seenEmptyAt) : arrival.earliest();
     }
 
     /** Reads until nothing more comes, the other side has closed, or for as long as one look may take. */
@@ -62,14 +65,21 @@
     /**
      * Looks into a socket of which the selector has told nothing so far, as it may not know of it.
      *
+     * @param now in tenths of a millisecond
      * @return whether something lay there that it had not told of
      */
-    boolean findsUntold(Channel socket) {
+    boolean findsUntold(Channel socket, long now) {
         if (told || !socket.isActive()) {
             return false;
         }
         long before = bytes;
-        readAll(socket);
+        lookingPastSelector = true;
+        try {
+            readAll(socket);
+        } finally {
+            lookingPastSelector = false;
+            seenEmptyAt = now;
+        }
         return bytes > before;
     }
 
--- a/src/test/java/reedspring/net/FailingCallsIT.java
+++ b/src/test/java/reedspring/net/FailingCallsIT.java
@@ -25,6 +25,7 @@
     private static final int START_S = 10;
     /** Two looks of the front at its sockets, and some for the machine. */
     private static final long FOUND_MS = 1_500;
+    private static final long MORE_DEADLINE_MS = 20;
     private static final int SIGNALS = 3_000;
     private static final int MORE_THREADS = 3;
     private static final long MORE_KB = 4_096;
@@ -120,6 +121,11 @@
             assertEquals((long) id, client.read().get(1));
             long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began);
             assertTrue(took < FOUND_MS, "query " + id + " answered after " + took + " ms");
+            // The time for which it lay there counts.
+            EngineStandIn.Command sent = engine.seen("fetch").get(id);
+            long left = PATIENCE - TimeUnit.NANOSECONDS.toMillis(sent.at() - began);
+            long told = Long.parseLong(sent.words().get(2).replaceAll(".*ttl=([0-9]+).*", "$1"));
+            assertTrue(told <= left + MORE_DEADLINE_MS, "told " + told + " ms, its client has " + left);
         }
         assertTrue(front.logged("registered anew"), front.log::toString);
     }
