Soak: starts under failing calls, signals in series, ends until SIGKILL, bytes compared

ASKED_WHILE_LEAVING is gone: clients use open connections until SIGKILL, at its earliest moment, and a front that is being ended excuses nothing that it held. Seven mutants. Rig faults found on the way: a reader waited for the lock that a slow write held (answers looked 678 ms late); the rig's own cold start and its relay's stalls were told as the fronts'; two soaks at a time shared addresses (RIG_LANE). RulesTest's attempts carry class and statement now, and two tests are new.

--- a/src/rig/java/reedspring/rig/EngineStandIn.java
+++ b/src/rig/java/reedspring/rig/EngineStandIn.java
@@ -58,6 +58,8 @@
     private final List<Socket> line = new ArrayList<>();
     private final Consumer<Command> work;
     private final Consumer<Socket> gone;
+    /** Commands that could not be read: the words before the place at fault. */
+    public final List<String> malformed = Collections.synchronizedList(new ArrayList<>());
     public final List<Command> seen = Collections.synchronizedList(new ArrayList<>());
 
     public EngineStandIn(Consumer<Command> work) throws IOException {
@@ -146,20 +148,31 @@
         DataInputStream in = new DataInputStream(new BufferedInputStream(peer.getInputStream()));
         while (true) {
             List<String> words = new ArrayList<>();
-            int count = length(in, '*');
-            long at = System.nanoTime();
-            for (int left = count; left > 0; left--) {
-                byte[] word = new byte[length(in, '$')];
-                in.readFully(word);
-                in.skipBytes(2);
-                words.add(new String(word, StandardCharsets.ISO_8859_1));
+            try {
+                read(in, words, peer);
+            } catch (AssertionError e) {
+                // As an engine does with what it can't read.
+                malformed.add(words.toString());
+                peer.close();
+                throw e;
             }
-            Command command = new Command(words, peer, at);
-            seen.add(command);
-            work.accept(command);
         }
     }
 
+    private void read(DataInputStream in, List<String> words, Socket peer) throws IOException {
+        int count = length(in, '*');
+        long at = System.nanoTime();
+        for (int left = count; left > 0; left--) {
+            byte[] word = new byte[length(in, '$')];
+            in.readFully(word);
+            in.skipBytes(2);
+            words.add(new String(word, StandardCharsets.ISO_8859_1));
+        }
+        Command command = new Command(words, peer, at);
+        seen.add(command);
+        work.accept(command);
+    }
+
     private static int length(DataInputStream in, int type) throws IOException {
         Rig.require(in.readUnsignedByte() == type, "RESP from the front");
         int length = 0;
--- a/src/rig/java/reedspring/rig/Program.java
+++ b/src/rig/java/reedspring/rig/Program.java
@@ -19,8 +19,8 @@
 
 /** The program, started as the platform starts it. */
 public final class Program implements Closeable {
-    private static final int FIRST_PORT = 20_000;
-    private static final int PORTS = 12_000;
+    private static final int PORTS = 3_000;
+    private static final int FIRST_PORT = 20_000 + PORTS * Rig.LANE;
     private static final AtomicInteger next = new AtomicInteger((int) ProcessHandle.current().pid());
     public final Process process;
     public final List<String> log = new CopyOnWriteArrayList<>();
--- a/src/rig/java/reedspring/rig/fleet/Crowd.java
+++ b/src/rig/java/reedspring/rig/fleet/Crowd.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -13,6 +14,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import reedspring.rig.Client;
@@ -37,6 +39,10 @@
     private static final double GIVES_UP = 0.3;
     private static final int MOST_PATIENT_MS = 400;
     private static final int PIPELINED = 30;
+    private static final int GREETINGS = 20;
+    private static final int IDLE_AT_ONCE = 20;
+    private static final int MOST_IDLE = 1_200;
+    private static final int IDLE_FOR_S = 4;
 
     /** One query of a client, over its tries. */
     record Ask(int group, double workMs, double needMb, long first) {
@@ -54,6 +60,8 @@
         volatile int patienceMs;
         final List<String> came = new ArrayList<>();
         volatile long cameAt;
+        /** As it was sent. */
+        volatile String statement = "";
         volatile boolean sent;
         volatile boolean connectionLost;
         volatile long lostAt;
@@ -87,6 +95,7 @@
     });
     private final SplittableRandom chance;
     private final List<Try> tries = new ArrayList<>();
+    private final Set<Client> idle = ConcurrentHashMap.newKeySet();
     /** Fronts to which the layer before them sends nothing new, as they are being taken down. */
     private final Set<Integer> leaving = ConcurrentHashMap.newKeySet();
     /** What clients do now beside asking. */
@@ -95,19 +104,23 @@
     /** One connection to a front, through its door. */
     private final class Link {
         private final int front;
-        private Client client;
+        private volatile Client client;
         private int ids;
-        private Map<Long, Try> open = new HashMap<>();
+        private Map<Long, Try> open = new ConcurrentHashMap<>();
 
         private Link(int front) {
             this.front = front;
         }
 
+        private boolean isOpen() {
+            return client != null;
+        }
+
         private synchronized void send(Try one) {
             try {
                 if (client == null) {
                     Client made = new Client(addresses[front]);
-                    Map<Long, Try> mine = new HashMap<>();
+                    Map<Long, Try> mine = new ConcurrentHashMap<>();
                     client = made;
                     open = mine;
                     Thread reader = new Thread(() -> read(made, mine));
@@ -177,11 +190,8 @@
             try {
                 while (true) {
                     List<?> answer = from.read();
-                    Try one;
-                    synchronized (this) {
-                        one = mine.get((Long) answer.get(1));
-                    }
-                    answered(one, answer);
+                    // Not under the lock that a slow write holds: the rig must not be what is late.
+                    answered(mine.get((Long) answer.get(1)), answer);
                 }
             } catch (IOException | RuntimeException e) {
                 lost(from, mine);
@@ -233,11 +243,13 @@
         Map<String, Object> fields = Client.fields(one.trace, one.patienceMs);
         fields.put("weight", String.format(Locale.ROOT, "%.2f", one.ask.workMs));
         fields.put("need_mb", String.format(Locale.ROOT, "%.0f", one.ask.needMb));
-        String statement = String.format(Locale.ROOT,
-                "select work=%.2f need=%.1f threads=%d from sales_%d.orders",
-                one.ask.workMs, one.ask.needMb, Terms.THREADS[one.ask.group], id % 9);
+        if (one.statement.isEmpty()) {
+            one.statement = String.format(Locale.ROOT,
+                    "select work=%.2f need=%.1f threads=%d from sales_%d.orders",
+                    one.ask.workMs, one.ask.needMb, Terms.THREADS[one.ask.group], id % 9);
+        }
         return Client.pack(List.of(0, id, Terms.GROUPS[one.ask.group], List.of(fields,
-                statement.getBytes())));
+                one.statement.getBytes(StandardCharsets.UTF_8))));
     }
 
     private synchronized double draw() {
@@ -260,7 +272,7 @@
         }
     }
 
-    /** The layer before the fronts sends it nothing more, or again. */
+    /** The layer before the fronts makes no new connection to it, or again; open ones are used on. */
     void leaves(int front, boolean on) {
         if (on) {
             leaving.add(front);
@@ -278,6 +290,12 @@
             double kind = draw();
             sends.execute(() -> badly(front, kind));
         }
+        if (manners.contains(What.COPIED_TRACES)) {
+            sends.execute(() -> copies(front));
+        }
+        if (manners.contains(What.IDLE_CROWD)) {
+            sends.execute(() -> idles(front));
+        }
         if (manners.contains(What.PIPELINE) && draw() < 0.1) {
             sends.execute(() -> pipeline(front, false));
         }
@@ -309,6 +327,47 @@
         }
     }
 
+    /** Sends the trace of the query that this front answered, or was asked, last, with another statement. */
+    private void copies(int front) {
+        Try copied = latest(front);
+        if (copied == null) {
+            return;
+        }
+        try (Client client = new Client(addresses[front])) {
+            Map<String, Object> fields = Client.fields(copied.trace, patience(copied));
+            String statement = "select work=1.00 need=1.0 threads=1 from copied_1.orders";
+            client.send(Client.pack(List.of(0, 1, Terms.GROUPS[0], List.of(fields,
+                    statement.getBytes(StandardCharsets.UTF_8)))));
+            client.read();
+        } catch (IOException | RuntimeException e) {
+            // refused, or its front is down
+        }
+    }
+
+    private synchronized Try latest(int front) {
+        boolean answered = chance.nextBoolean();
+        for (int k = tries.size() - 1; k >= 0; k--) {
+            Try one = tries.get(k);
+            if (one.front == front && one.sent && answered != one.came.isEmpty()) {
+                return one;
+            }
+        }
+        return null;
+    }
+
+    /** Some connections more that say nothing, until the crowd is as large as a front may bear. */
+    private void idles(int front) {
+        for (int k = 0; k < IDLE_AT_ONCE && idle.size() < MOST_IDLE; k++) {
+            try {
+                Client client = new Client(addresses[front]);
+                idle.add(client);
+                later.schedule(() -> closed(client), IDLE_FOR_S, TimeUnit.SECONDS);
+            } catch (IOException e) {
+                // its front is down
+            }
+        }
+    }
+
     /** Thirty at once on a connection of their own; {@code goes}: and a close right behind them. */
     private void pipeline(int front, boolean goes) {
         try {
@@ -367,6 +426,30 @@
                 / MS);
     }
 
+    /** Asks each front whether it is there, over new connections: a cold rig must not count against it. */
+    void greet() throws Exception {
+        List<Future<?>> greetings = new ArrayList<>();
+        for (String address : addresses) {
+            for (int c = 0; c < CONNECTIONS; c++) {
+                greetings.add(sends.submit(() -> {
+                    heartbeats(address);
+                    return null;
+                }));
+            }
+        }
+        for (Future<?> each : greetings) {
+            each.get(Rig.PATIENCE_S, TimeUnit.SECONDS);
+        }
+    }
+
+    private static void heartbeats(String address) throws IOException {
+        try (Client client = new Client(address)) {
+            for (int id = 1; id <= GREETINGS; id++) {
+                client.send(Client.pack(List.of(0, id, "heartbeat", List.of(Client.fields("", 0))))).read();
+            }
+        }
+    }
+
     /** One new query. */
     synchronized void ask() {
         int group = table.mix().group(chance);
@@ -381,8 +464,9 @@
     }
 
     private synchronized void turnTo(Ask ask, int number, int wanted) {
+        int connection = chance.nextInt(CONNECTIONS);
         int front = wanted;
-        for (int k = 0; k < table.fronts() && (leaving.contains(front) || refusedAt[front] != 0
+        for (int k = 0; k < table.fronts() && (unreachable(front, connection) || refusedAt[front] != 0
                 && System.nanoTime() - refusedAt[front] > LAYER_NOTICES); k++) {
             if (!leaving.contains(front) && System.nanoTime() - refusedAt[front] > 2 * LAYER_NOTICES) {
                 refusedAt[front] = 0; // it is tried again
@@ -392,10 +476,14 @@
         }
         Try one = new Try(ask, number, front);
         tries.add(one);
-        Link link = links[front][chance.nextInt(CONNECTIONS)];
+        Link link = links[front][connection];
         sends.execute(() -> link.send(one));
     }
 
+    private boolean unreachable(int front, int connection) {
+        return leaving.contains(front) && !links[front][connection].isOpen();
+    }
+
     private void answered(Try one, List<?> answer) {
         Rig.require(one != null, "an answer to what nobody asked: " + answer);
         String rows = Client.rows(answer);
--- a/src/rig/java/reedspring/rig/fleet/EngineHost.java
+++ b/src/rig/java/reedspring/rig/fleet/EngineHost.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -25,7 +26,9 @@
  */
 final class EngineHost implements Closeable {
     private static final Pattern TTL = Pattern.compile("ttl=([0-9]+)");
+    private static final Pattern LANE = Pattern.compile("(?:^|,)lane=([^,]*)");
     private static final Pattern COSTS = Pattern.compile("work=([0-9.]+) need=([0-9.]+) threads=([0-9]+)");
+    private static final Set<String> COMMANDS = Set.of("fetch", "abort", "renice", "more", "done", "alive");
     private static final int CONNECTIONS = 400;
     private static final int SPOILT_ONE_IN = 5;
     private static final long REST_NANOS = 150_000_000;
@@ -39,6 +42,9 @@
         final double work;
         /** What the front said that it would wait, in milliseconds; -1 if it did not say. */
         final long ttlMs;
+        /** As it came: the class, and the statement. */
+        final String group;
+        final String statement;
         volatile long endedAt;
         volatile String end = "out";
         private final EngineStandIn.Command command;
@@ -51,6 +57,9 @@
             this.work = work;
             this.command = command;
             Matcher ttl = command.words().size() > 2 ? TTL.matcher(command.words().get(2)) : null;
+            Matcher lane = command.words().size() > 2 ? LANE.matcher(command.words().get(2)) : null;
+            this.group = lane != null && lane.find() ? lane.group(1) : "";
+            this.statement = command.words().size() > 3 ? command.words().get(3) : "";
             this.ttlMs = ttl != null && ttl.find() ? Long.parseLong(ttl.group(1)) : -1;
         }
 
@@ -70,6 +79,7 @@
     private final EngineStandIn server;
     private final Machine machine;
     private final List<Attempt> attempts = new ArrayList<>();
+    private final List<String> unknown = new ArrayList<>();
     /** When a front last sent something on a connection. */
     private final Map<Socket, Long> lastUsed = new HashMap<>();
     private boolean fails;
@@ -121,8 +131,15 @@
             }
             return;
         }
+        if (!COMMANDS.contains(command.word())) {
+            unknown.add(command.words().toString());
+        }
         Matcher costs = command.word().equals("fetch") ? COSTS.matcher(command.words().get(3)) : null;
-        if (costs == null || !costs.find()) {
+        if (costs == null) {
+            return;
+        }
+        if (!costs.find()) {
+            unknown.add(command.words().toString());
             return;
         }
         double work = 10 * Double.parseDouble(costs.group(1));
@@ -286,6 +303,13 @@
         server.close();
     }
 
+    /** What is no command of the protocol, or asks for what no client of this rig asks. */
+    synchronized List<String> unknown() {
+        List<String> all = new ArrayList<>(unknown);
+        all.addAll(List.copyOf(server.malformed));
+        return all;
+    }
+
     synchronized List<Attempt> attempts() {
         return List.copyOf(attempts);
     }
--- a/src/rig/java/reedspring/rig/fleet/Fleet.java
+++ b/src/rig/java/reedspring/rig/fleet/Fleet.java
@@ -4,7 +4,9 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -35,13 +37,17 @@
     private static final long STEP = 5;
     private static final int STARTED_AT_ONCE = 8;
     private static final int MOST_FRONTS = 200;
+    private static final int SIGNALS_IN_SERIES = 100;
+    private static final long SERIES_EVERY_MS = 250;
+    /** The operators'. */
+    private static final long READY_WITHIN = 10_000 * MS;
     /** Less than a query's bytes, and more than a handful, or a front would have nothing else to do. */
     private static final int SHORT_BYTES = 200;
     /** Of loopback's addresses: doors to engines, to fronts, to journals, and the relay's own by front. */
-    private static final int TO_ENGINES = 21;
-    private static final int TO_FRONTS = 22;
-    private static final int TO_JOURNALS = 23;
-    private static final int OWN = 24;
+    private static final int TO_ENGINES = 21 + 10 * Rig.LANE;
+    private static final int TO_FRONTS = TO_ENGINES + 1;
+    private static final int TO_JOURNALS = TO_ENGINES + 2;
+    private static final int OWN = TO_ENGINES + 3;
 
     private final Timetable table;
     private final long seed;
@@ -77,10 +83,14 @@
         private final FaultShim shim;
         private volatile Program program;
         private volatile String config;
+        private volatile long startedAt;
         private boolean moved;
+        private volatile boolean startsFail;
+        private final SplittableRandom startFaults;
 
         private Front(int at) throws IOException, InterruptedException {
             this.at = at;
+            this.startFaults = new SplittableRandom(seed ^ at);
             this.shim = table.entries().stream().anyMatch(e -> e.what().ofShim()) ? new FaultShim() : null;
             this.listen = Program.freeAddress();
             this.journal = new JournalStandIn();
@@ -112,7 +122,18 @@
             config = Terms.config(table, at, listen, journals.address(), position,
                     JournalStandIn.event(position, true, known));
             moved = false;
+            if (shim != null) {
+                // A JVM does not start without threads.
+                shim.set(Fault.THREADS_FROM, 0);
+            }
+            if (startsFail) {
+                shim.set(Fault.CONFIG_OPENS, 1 + startFaults.nextInt(5));
+                shim.set(Fault.EPOLL_CREATES, startFaults.nextInt(3));
+                shim.set(Fault.EVENTFDS, startFaults.nextInt(2));
+                shim.set(Fault.EPOLL_ADD_AT, 1 + startFaults.nextInt(6));
+            }
             program = shim == null ? new Program(config, home) : Program.withShim(config, shim, home);
+            startedAt = System.nanoTime();
             clients.open();
         }
 
@@ -222,6 +243,8 @@
         }
         crowd = new Crowd(table, chance.nextLong(), fronts.stream().map(f -> f.clients.address())
                 .toArray(String[]::new), later);
+        crowd.greet();
+        relay.watchLateness();
         startedAt = System.nanoTime();
         rules.starts(startedAt);
         clock.scheduleAtFixedRate(guarded(this::step), STEP, STEP, TimeUnit.MILLISECONDS);
@@ -247,6 +270,10 @@
             Rig.require(front.program.process.isAlive() || rules.down(front.at, System.nanoTime()),
                     "front " + front.at + " ended by itself (" + table + ", seed " + seed + "): "
                             + front.program.log);
+            Rig.require(front.program.logged("serves on") || rules.down(front.at, System.nanoTime())
+                    || System.nanoTime() - front.startedAt < READY_WITHIN,
+                    "front " + front.at + " did not start (" + table + ", seed " + seed + "): "
+                            + front.program.log);
             for (String defect : List.of("a decision failed", "an action failed", "a timer failed",
                     "closed, fault", "rule would be broken")) {
                 Rig.require(!front.program.logged(defect), defect + " in front " + front.at + " (" + table
@@ -256,7 +283,7 @@
         }
         List<EngineHost> all = List.copyOf(hosts);
         List<EngineHost.Attempt> attempts = all.stream().flatMap(h -> h.attempts().stream()).toList();
-        rules.rigWasLate(lateMs);
+        rules.rigWasLate(Math.max(lateMs, relay.lateMs()));
         Tally tally = rules.check(crowd.tries(), attempts, all);
         double[] threads = IntStream.range(0, table.engines()).mapToDouble(k -> all.stream().filter(h ->
                 h.at == k)
@@ -382,14 +409,16 @@
                 case LEAVE -> {
                     front.signal("-TERM");
                     later.schedule(guarded(() -> {
-                        front.clients.refuse();
+                        // New connections are gone elsewhere by now; open ones are used until they end.
                         crowd.leaves(f, true);
+                        front.clients.refuse();
                     }), 300, TimeUnit.MILLISECONDS);
                 }
                 case STOP -> {
                     rules.stops(f);
                     front.signal("-STOP");
                 }
+                case SIGNALS -> inSeries(front, entry.span() / 10);
                 case RELOAD -> {
                     for (int k = 0; k < entry.times(); k++) {
                         later.schedule(guarded(front::reload), (long) (entry.span() / 10 * k / entry.times()),
@@ -401,6 +430,25 @@
         }
     }
 
+    /** Signals in series, while the file that they are about is away, and one once it is back. */
+    private void inSeries(Front front, long spanMs) {
+        later.execute(guarded(() -> {
+            Path file = front.program.file();
+            Path away = file.resolveSibling(file.getFileName() + ".away");
+            Files.move(file, away);
+            try {
+                long until = System.nanoTime() + spanMs / 2 * MS;
+                while (System.nanoTime() < until && front.program.process.isAlive()) {
+                    front.unlessEnded(() -> front.program.signals("HUP", SIGNALS_IN_SERIES));
+                    Thread.sleep(SERIES_EVERY_MS);
+                }
+            } finally {
+                Files.move(away, file, StandardCopyOption.REPLACE_EXISTING);
+            }
+            front.signal("-HUP");
+        }));
+    }
+
     /** Faults of system calls, and clients that misbehave. */
     private void bends(Entry entry, Front front, boolean on) {
         switch (entry.what()) {
@@ -416,7 +464,9 @@
             }
             case CLOCK_FORWARD -> front.shim.set(Fault.CLOCK_STEP_MS, on ? entry.by() / 10 : 0);
             case CLOCK_BACK -> front.shim.set(Fault.CLOCK_STEP_MS, on ? -entry.by() / 10 : 0);
-            case GIVE_UP, SLOW_CLIENTS, BAD_CLIENTS, PIPELINE -> {
+            case NO_THREADS -> front.shim.set(Fault.THREADS_FROM, on ? 1 : 0);
+            case START_FAILS -> front.startsFail = on;
+            case GIVE_UP, SLOW_CLIENTS, BAD_CLIENTS, PIPELINE, IDLE_CROWD, COPIED_TRACES -> {
                 crowd.manner(entry.what(), on);
                 if (on) {
                     misbehaves.add(front.at);
@@ -448,7 +498,11 @@
                     front.program.close();
                     front.start();
                     crowd.leaves(f, false);
-                    rules.starts(f);
+                    if (entry.what() == What.LEAVE) {
+                        rules.startsAfterItsEnd(f);
+                    } else {
+                        rules.starts(f);
+                    }
                 }
                 case STOP -> {
                     front.signal("-CONT");
--- a/src/rig/java/reedspring/rig/fleet/Mutants.java
+++ b/src/rig/java/reedspring/rig/fleet/Mutants.java
@@ -36,6 +36,7 @@
     private static final long SECOND = 10_000;
     private static final int AT_ONCE = 2;
     private static final int TRIES = 2;
+    private static final String DID_NOT_START = "ended by itself|did not start";
 
     /**
      * One change of a source file.
@@ -136,7 +137,41 @@
                         "        new Shutdown(this, limits, roster, now).begin(left);\n",
                         "        left.run();\n", day("leaves-at-once",
                                 trouble(What.LEAVE, 2, 3.7, 1), trouble(What.SLOW, 1, 6, 4)),
-                                        "lost unanswered"));
+                                        "lost unanswered"),
+                new Mutant("traces-forgotten", "core/policy/RecentIds.java",
+                        "return current.contains(id) || previous.contains(id);",
+                        "return id == 0 && current.contains(id);",
+                        day("traces-forgotten", trouble(What.COPIED_TRACES, 1, 6, 1)),
+                        "sent what no client had sent"),
+                new Mutant("command-torn", "net/WholeCommandEncoder.java", "            whole = true;\n",
+                        "            joined.writerIndex(joined.writerIndex() - command.hashCode() % 2);\n"
+                                + "            whole = true;\n", day("command-torn"),
+                        "sent what no client had sent|no answer|past its time"),
+                new Mutant("signals-wait", "net/Reloads.java",
+                        "        wanted = true;\n        notifyAll();\n",
+                        "        wanted = true;\n        java.util.concurrent.locks.LockSupport.parkNanos("
+                                + "800_000_000L);\n        notifyAll();\n",
+                        day("signals-wait", trouble(What.SIGNALS, 1, 6, 1), trouble(What.LEAVE, 2, 3.7, 1)),
+                        "had not ended"),
+                new Mutant("thread-for-each-signal", "net/ProcessSignals.java",
+                        "            table.set(null, ", "            table.get(table); Object none = (",
+                        day("thread-for-each-signal", trouble(What.NO_THREADS, 1, 6, 1),
+                                trouble(What.LEAVE, 2, 3.7, 1)), "had not ended"),
+                new Mutant("selector-once", "net/Startup.java", "new StartAttempts(30, REST_MS)",
+                        "new StartAttempts(1, REST_MS)", restarts("selector-once"), DID_NOT_START),
+                new Mutant("configuration-once", "net/Startup.java", "new StartAttempts(50, REST_MS)",
+                        "new StartAttempts(1, REST_MS)", restarts("configuration-once"), DID_NOT_START),
+                new Mutant("registration-believed", List.of(
+                        new Change("net/SocketReads.java", "if (told || !socket.isActive())",
+                                "if (told || socket.isActive())"),
+                        new Change("net/AcceptGuard.java", "listener == null || !listener.isActive()",
+                                "listener == null || listener.isActive()")),
+                        restarts("registration-believed"), "no answer|past its time|lost unanswered"));
+    }
+
+    /** Fronts are killed and start again while calls fail. */
+    private static Timetable restarts(String name) {
+        return day(name, trouble(What.START_FAILS, 0, 8, 1), trouble(What.KILL, 1, 0.2, 1));
     }
 
     private static Timetable coldDay(String name) {
--- a/src/rig/java/reedspring/rig/fleet/Relay.java
+++ b/src/rig/java/reedspring/rig/fleet/Relay.java
@@ -41,6 +41,10 @@
     private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final SplittableRandom chance;
 
+    private static final long LOOK_NANOS = 5_000_000;
+    private long lookedAt;
+    private volatile long lateNanos;
+
     Relay(long seed) {
         this.chance = new SplittableRandom(seed);
     }
@@ -371,6 +375,21 @@
             (byte) (third % 250 + 1)});
     }
 
+    /** From now on, how late this relay is itself. */
+    void watchLateness() {
+        lookedAt = System.nanoTime();
+        loop.next().scheduleAtFixedRate(() -> {
+            long now = System.nanoTime();
+            lateNanos = Math.max(lateNanos, now - lookedAt - LOOK_NANOS);
+            lookedAt = now;
+        }, LOOK_NANOS, LOOK_NANOS, TimeUnit.NANOSECONDS);
+    }
+
+    /** For how long nothing passed at the most, as the loop stood still; in milliseconds. */
+    long lateMs() {
+        return TimeUnit.NANOSECONDS.toMillis(lateNanos);
+    }
+
     /** On the loop, in one turn. */
     void run(Runnable what) {
         Runnable safe = () -> {
--- a/src/rig/java/reedspring/rig/fleet/Rules.java
+++ b/src/rig/java/reedspring/rig/fleet/Rules.java
@@ -19,11 +19,10 @@
  * had been told. A front that was killed, and a client whose own link failed, excuse the query they held and
  * nothing else. Times are nanoseconds of the steady clock.
  */
-final class Rules {
+public final class Rules {
     private static final long MS = 1_000_000;
     private static final long OVERLAP_SLACK = 20 * MS;
-    /** After SIGTERM, until which requests may still come on open connections. */
-    private static final long ASKED_WHILE_LEAVING = 500 * MS;
+    private static final long UNTIL_SERVES = 6_000 * MS;
     /** A rig that is late by more judges nobody. */
     private static final long MOST_RIG_LATE_MS = 100;
 
@@ -44,7 +43,7 @@
     }
 
     /** The rig itself was late, so that nothing can be said of the fronts. */
-    static final class VoidRunException extends RuntimeException {
+    public static final class VoidRunException extends RuntimeException {
         private static final long serialVersionUID = 1L;
 
         VoidRunException(String message) {
@@ -63,8 +62,8 @@
     /** When each front was told that an engine drains or has gone, and that it is ready again. */
     private final Map<String, List<Drained>> drained = new HashMap<>();
     private final List<Span> clientFaults = new ArrayList<>();
-    /** In which a front that is being ended is asked nothing more by the layer before it. */
-    private final List<Span> askedTooLate = new ArrayList<>();
+    /** From the SIGKILL of a front that had been told to end to its next start: nobody is there. */
+    private final List<Span> absent = new ArrayList<>();
     private String leftLate;
     private final Map<String, Long> toldOn = new HashMap<>();
     private final Map<Integer, Long> downSince = new HashMap<>();
@@ -122,8 +121,6 @@
                         + 100 * MS));
             } else if (entry.what() == What.LEAVE && slack.leavingExcused()) {
                 excuses.add(new Span(f, now, to));
-            } else if (entry.what() == What.LEAVE) {
-                askedTooLate.add(new Span(f, now + ASKED_WHILE_LEAVING, to));
             }
         }
     }
@@ -132,10 +129,17 @@
         downSince.putIfAbsent(front, System.nanoTime());
     }
 
-    /** Started again: until it serves, clients meet nobody. */
+    /** Started again: until it serves, clients meet nobody. What it held when it was killed is lost. */
     synchronized void starts(int front) {
         startedAgain.put(front, System.nanoTime());
-        excuses.add(new Span(front, downSince.remove(front) - 50 * MS, System.nanoTime() + 6_000 * MS));
+        excuses.add(new Span(front, downSince.remove(front) - 50 * MS, System.nanoTime() + UNTIL_SERVES));
+    }
+
+    /** The same of one that had been told to end: it has answered all that it held before SIGKILL. */
+    synchronized void startsAfterItsEnd(int front) {
+        startedAgain.put(front, System.nanoTime());
+        Span gone = new Span(front, downSince.remove(front), System.nanoTime() + UNTIL_SERVES);
+        (slack.leavingExcused() ? excuses : absent).add(gone);
     }
 
     synchronized boolean down(int front, long at) {
@@ -173,6 +177,7 @@
             throw new VoidRunException("the rig stood still for " + rigLate + " ms");
         }
         Rig.require(leftLate == null, leftLate + " (" + table + ", seed " + seed + ")");
+        sentByClients(tries, attempts, hosts);
         Map<String, List<EngineHost.Attempt>> byTrace = attempts.stream()
                 .collect(Collectors.groupingBy(a -> a.trace));
         for (Crowd.Try one : tries) {
@@ -187,6 +192,22 @@
         return tally(tries, attempts, excused, cold);
     }
 
+    /** Whatever reaches an engine is what a client sent: id, class and statement, byte by byte. */
+    private void sentByClients(List<Crowd.Try> tries, List<EngineHost.Attempt> attempts,
+            List<EngineHost> hosts) {
+        Map<String, Crowd.Try> sent = tries.stream().collect(Collectors.toMap(one -> one.trace, one -> one));
+        for (EngineHost.Attempt attempt : attempts) {
+            Crowd.Try one = sent.get(attempt.trace);
+            require(one != null && one.statement.equals(attempt.statement)
+                    && Terms.GROUPS[one.ask.group()].equals(attempt.group), attempt,
+                    "sent what no client had sent: " + attempt.group + " " + attempt.statement);
+        }
+        for (EngineHost host : hosts) {
+            Rig.require(host.unknown().isEmpty(), "sent what no client had sent: " + host.unknown() + " to "
+                    + host.name + " (" + table + ", seed " + seed + ")");
+        }
+    }
+
     private int answers(List<Crowd.Try> tries, Map<String, List<EngineHost.Attempt>> byTrace) {
         int excused = 0;
         for (Crowd.Try one : tries) {
@@ -208,7 +229,7 @@
             long from = one.connectionLost ? one.lostAt : one.sentAt;
             long to = one.connectionLost ? one.lostAt : last;
             boolean excuse = !one.sent || one.goneAt != 0
-                    || askedTooLate.stream().anyMatch(s -> s.meets(one.front, one.sentAt, one.sentAt))
+                    || absent.stream().anyMatch(s -> s.meets(one.front, one.sentAt, one.sentAt))
                     || excuses.stream().anyMatch(s -> s.meets(one.front, from, to))
                     || downSince.containsKey(one.front);
             excused += one.came.isEmpty() ? 1 : 0;
--- a/src/rig/java/reedspring/rig/fleet/Timetable.java
+++ b/src/rig/java/reedspring/rig/fleet/Timetable.java
@@ -103,8 +103,14 @@
         CLOCK_FORWARD,
         /** The same behind. */
         CLOCK_BACK,
+        /** The fronts can have no more threads. */
+        NO_THREADS,
+        /** Starts of the fronts meet calls that fail: reading the file, the selector, a registration. */
+        START_FAILS,
         /** {@code times} new configurations over the span, each with discovery at another address. */
         RELOAD,
+        /** SIGHUP in series, while the configuration's file is away for half of the span. */
+        SIGNALS,
         /** Three clients in ten take their query back, or close their connection, soon after asking. */
         GIVE_UP,
         /** One client in six writes its query in pieces over a second or two. */
@@ -113,6 +119,10 @@
         BAD_CLIENTS,
         /** Connections with thirty queries at once. */
         PIPELINE,
+        /** Hundreds of connections that say nothing. */
+        IDLE_CROWD,
+        /** Connections that send the trace of another client's query with a statement of their own. */
+        COPIED_TRACES,
         /** Lists reach these fronts late. */
         LATE_LIST,
         /** More queries. */
@@ -140,7 +150,7 @@
 
         /** Done by a library that is loaded into the fronts. */
         boolean ofShim() {
-            return ordinal() >= ACCEPT_FAILS.ordinal() && ordinal() <= CLOCK_BACK.ordinal();
+            return ordinal() >= ACCEPT_FAILS.ordinal() && ordinal() <= START_FAILS.ordinal();
         }
 
         boolean ofEngines() {
@@ -162,6 +172,8 @@
     private static final long SECOND = 10_000;
     /** Engines and fronts stand in racks by turns. */
     private static final int RACKS = 50;
+    private static final long LONGEST_PATIENCE_WHILE_LEAVING_MS = 3_000;
+    private static final long KILLED_AFTER_PATIENCE_MS = 700;
     private static final int MOST = 1_000;
     private static final int MOST_FRONTS = 10_000;
     private static final int MOST_ENGINES = 100_000;
@@ -261,6 +273,15 @@
                 busyFronts, busyTimes, sessions, patience, coldMultiple, List.copyOf(other));
     }
 
+    /** From SIGTERM to SIGKILL, at the earliest: the longest patience, 3 s at most, and 0.7 s. */
+    long leavesFor() {
+        long longest = 0;
+        for (int group = 0; group < Terms.GROUPS.length; group++) {
+            longest = Math.max(longest, Terms.leavesMs(this, group));
+        }
+        return (Math.min(longest, LONGEST_PATIENCE_WHILE_LEAVING_MS) + KILLED_AFTER_PATIENCE_MS) * 10;
+    }
+
     /** A front or engine's site. */
     public char site(int index) {
         return (char) ('a' + index % sites);
--- a/src/test/java/reedspring/rig/fleet/RulesTest.java
+++ b/src/test/java/reedspring/rig/fleet/RulesTest.java
@@ -16,6 +16,7 @@
  */
 class RulesTest {
     private static final long MS = 1_000_000;
+    private static final String STATEMENT = "select 1";
     private final Timetable table;
     private Rules rules;
     private final List<Crowd.Try> tries = new ArrayList<>();
@@ -30,6 +31,7 @@
     private Crowd.Try asked(int group, String... came) {
         Crowd.Try one = new Crowd.Try(new Crowd.Ask(group, 100, 10, System.nanoTime()), 1, 0);
         one.sent = true;
+        one.statement = STATEMENT;
         one.came.addAll(List.of(came));
         one.cameAt = System.nanoTime();
         tries.add(one);
@@ -39,7 +41,8 @@
     private EngineHost.Attempt sent(Crowd.Try one, String engine, long afterMs, String end) {
         EngineHost.Attempt attempt = new EngineHost.Attempt(new EngineStandIn.Command(List.of("fetch",
                 one.trace,
-                "-", ""), null, System.nanoTime() + afterMs * MS), 0, engine, 1_000);
+                "lane=" + Terms.GROUPS[one.ask.group()], STATEMENT), null,
+                System.nanoTime() + afterMs * MS), 0, engine, 1_000);
         if (end != null) {
             attempt.ends(end);
         }
@@ -166,7 +169,7 @@
     private EngineHost.Attempt told(Crowd.Try one, int ttlMs, long afterMs) {
         EngineHost.Attempt attempt = new EngineHost.Attempt(new EngineStandIn.Command(List.of("fetch",
                 one.trace,
-                "lane=lookup,ttl=" + ttlMs, ""), null, one.sentAt + afterMs * MS), 0, "e0", 1_000);
+                "lane=lookup,ttl=" + ttlMs, STATEMENT), null, one.sentAt + afterMs * MS), 0, "e0", 1_000);
         attempt.ends("data");
         attempts.add(attempt);
         return attempt;
@@ -214,6 +217,34 @@
         assertThrows(Rules.VoidRunException.class, this::check);
     }
 
+    /** Id, class and statement, byte by byte. */
+    @Example
+    void whatNoClientHadSent() {
+        for (List<String> words : List.of(List.of("lane=lookup", STATEMENT + " "),
+                List.of("lane=report", STATEMENT), List.of("ttl=1", STATEMENT))) {
+            Crowd.Try one = askedByTerms(1_000, "served");
+            attempts.add(new EngineHost.Attempt(new EngineStandIn.Command(List.of("fetch", one.trace,
+                    words.get(0), words.get(1)), null, System.nanoTime()), 0, "e0", 1_000));
+            broken("sent what no client had sent");
+        }
+        askedByTerms(1_000, "Shed");
+        sent(new Crowd.Try(new Crowd.Ask(0, 100, 10, System.nanoTime()), 1, 0), "e0", 0, "data");
+        broken("sent what no client had sent");
+    }
+
+    /** What came until SIGKILL has its answer, or was lost; what comes afterwards meets nobody. */
+    @Example
+    void aFrontThatWasToldToEndIsNoExcuseForWhatItHeld() {
+        Crowd.Try held = askedByTerms(1_000);
+        rules.kills(0);
+        held.isLost();
+        rules.startsAfterItsEnd(0);
+        broken("lost unanswered");
+        tries.clear();
+        asked(0).isLost();
+        assertEquals(1, check().excused());
+    }
+
     /** What a killed front held is excused; what another holds is not. */
     @Example
     void onlyTheDeadAreExcused() {
@@ -228,8 +259,9 @@
     /** What front {@code from} sends to a cold engine at once, each 2.3 usual queries. */
     private void sentCold(EngineHost host, int from, int count, long atMs) {
         for (int k = 0; k < count; k++) {
-            attempts.add(new EngineHost.Attempt(new EngineStandIn.Command(List.of("fetch", "t" + attempts
-                    .size(), "-", ""), null, host.bornAt + atMs * MS), from, host.name, 5_000));
+            attempts.add(new EngineHost.Attempt(new EngineStandIn.Command(List.of("fetch",
+                    asked(0, "served").trace, "lane=lookup", STATEMENT), null, host.bornAt + atMs * MS),
+                    from, host.name, 5_000));
         }
     }
 
@@ -246,6 +278,7 @@
         for (String word : how) {
             assertTrue(error.getMessage().contains(word), error.getMessage());
         }
+        tries.clear();
         attempts.clear();
     }
 
@@ -253,6 +286,7 @@
     private void stands(EngineHost host, double part) {
         double most = rules.check(tries, attempts, List.of(host)).cold();
         assertTrue(most > part, "of what makes it fall: " + most);
+        tries.clear();
         attempts.clear();
     }
 
