--- a/src/rig/java/reedspring/rig/scale/JournalService.java
+++ b/src/rig/java/reedspring/rig/scale/JournalService.java
@@ -413,6 +413,8 @@
             }
             return null;
         });
+        // A bind is a task of the loop's own, behind the one above: who calls right after this must be heard.
+        on(() -> null);
     }
 
     /** Calls of a watcher since a moment, as address and moment, in order. */
