--- a/src/main/java/reedspring/net/ClientConnection.java
+++ b/src/main/java/reedspring/net/ClientConnection.java
@@ -109,6 +109,7 @@
                     || call.method().equals("release"))) {
                 kept(call);
             } else if (open.size() + unread >= front.limits().clientQueries) {
+                front.turnedAway(call);
                 turnAway(call.id());
             } else {
                 OpenQuery q = front.take(this, call, socket.earliestArrival());
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -220,6 +220,7 @@
             return null;
         }
         if (queries.size() >= limits.queries || held > limits.heldBytes) {
+            recentTraces.add(request.traceId());
             counters.add(RequestRefusal.NO_ROOM);
             client.turnAway(call.id());
             return null;
@@ -235,6 +236,15 @@
         return q;
     }
 
+    /** A request is turned away unseen. Its client asks again under another trace. */
+    void turnedAway(RpcDecoder.Call call) {
+        QueryRequest request = QueryRequest.of(call, boot, limits);
+        counters.add(RequestRefusal.NO_ROOM);
+        if (request.fault() == null) {
+            recentTraces.add(request.traceId());
+        }
+    }
+
     /**
      * An engine knows a query by its trace alone. One that comes again, be it while its query is open or
      * after its answer, belongs to another request; sent on, it would be another statement under that name.
--- a/src/rig/java/reedspring/rig/fleet/Crowd.java
+++ b/src/rig/java/reedspring/rig/fleet/Crowd.java
@@ -69,6 +69,14 @@
         volatile long goneAt;
         private boolean sentAgain;
 
+        /** What became of it, in milliseconds after the start of the day. */
+        String told(long startedAt) {
+            return "it was sent" + (sentAgain ? " again" : "") + " at " + (sentAt - startedAt) / MS
+                    + ", came " + came + (cameAt == 0 ? "" : " at " + (cameAt - startedAt) / MS)
+                    + (connectionLost ? ", its connection lost at " + (lostAt - startedAt) / MS : "")
+                    + (goneAt != 0 ? ", its client gone" : "");
+        }
+
         /** Its connection has ended. */
         void isLost() {
             lostAt = System.nanoTime();
--- a/src/rig/java/reedspring/rig/fleet/Rules.java
+++ b/src/rig/java/reedspring/rig/fleet/Rules.java
@@ -200,7 +200,8 @@
             Crowd.Try one = sent.get(attempt.trace);
             require(one != null && one.statement.equals(attempt.statement)
                     && Terms.GROUPS[one.ask.group()].equals(attempt.group), attempt,
-                    "sent what no client had sent: " + attempt.group + " " + attempt.statement);
+                    "sent what no client had sent: " + attempt.group + " " + attempt.statement + ", where "
+                            + (one == null ? "nobody had that id" : one.told(startedAt)));
         }
         for (EngineHost host : hosts) {
             Rig.require(host.unknown().isEmpty(), "sent what no client had sent: " + host.unknown() + " to "
--- a/src/test/java/reedspring/fleet/SoakIT.java
+++ b/src/test/java/reedspring/fleet/SoakIT.java
@@ -14,6 +14,7 @@
  */
 class SoakIT {
     private static final int PLAYS = 2;
+    private static final long COPY_DURING_STOP = 3013;
     private static final List<Long> SEEDS = List.of(2L, 11L, 1001L, 1004L);
 
     @Example
@@ -25,6 +26,12 @@
         assertTrue(judged > 0, "the machine was too busy to judge any day");
     }
 
+    /** A front is stopped; a request and the copy of its trace come meanwhile. */
+    @Example
+    void aCopyThatComesWhileAFrontStandsStillGoesNowhere() throws Exception {
+        assertTrue(judges(COPY_DURING_STOP), "the machine was too busy to judge the day");
+    }
+
     /** False if the machine was too busy for the rig itself, each time; a rule that breaks is thrown. */
     private static boolean judges(long seed) throws Exception {
         for (int play = 1; play <= PLAYS; play++) {
--- a/src/test/java/reedspring/net/ShortDeadlinesIT.java
+++ b/src/test/java/reedspring/net/ShortDeadlinesIT.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static reedspring.rig.JournalStandIn.event;
 import static reedspring.rig.JournalStandIn.host;
-import static reedspring.rig.Rig.await;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -16,6 +15,7 @@
 import reedspring.rig.EngineStandIn;
 import reedspring.rig.JournalStandIn;
 import reedspring.rig.Program;
+import reedspring.rig.Rig;
 
 /** SIGKILL comes 0.7 s past the longest deadline; clients use their connections while these are open. */
 class ShortDeadlinesIT extends Started {
@@ -85,17 +85,27 @@
         }
     }
 
+    /** The first turns of a front that has just started may take longer than such a deadline. */
+    private void asksUntilOneIsOut(EngineStandIn engine, int deadlineMs) throws Exception {
+        Client first = client();
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(Rig.PATIENCE_S);
+        for (int id = 1; engine.seen("fetch").isEmpty(); id++) {
+            assertTrue(System.nanoTime() < until, "no query reaches the engine");
+            first.send(Client.query(id, Client.trace(), deadlineMs, "select")).read();
+        }
+    }
+
     /** Engines hang through the whole of it, and clients neither read to the end nor close. */
     @Example
     void theEndComesBeforeSigkillWhateverOthersDo() throws Exception {
         for (int deadlineMs : DEADLINES_MS) {
             EngineStandIn silent = silentEngine();
             startWith(deadlineMs, silent);
+            asksUntilOneIsOut(silent, deadlineMs);
             List<Client> clients = new ArrayList<>();
             for (int k = 0; k < CLIENTS; k++) {
                 clients.add(client().send(Client.query(1, Client.trace(), deadlineMs, "select")));
             }
-            await("a query at the engine", () -> !silent.seen("fetch").isEmpty());
             long term = System.nanoTime();
             front.signal("-TERM");
             for (Client client : clients) {
--- a/src/test/java/reedspring/net/UsedTracesIT.java
+++ b/src/test/java/reedspring/net/UsedTracesIT.java
@@ -55,6 +55,22 @@
         assertEquals(List.of(OWN), statements(silent));
     }
 
+    /** A connection carries 32 open queries; one more is deferred unseen, and asked again otherwise. */
+    @Example
+    void theTraceOfAQueryThatWasTurnedAwayNamesNoOther() throws Exception {
+        EngineStandIn silent = silentEngine();
+        start(silent);
+        Client client = client();
+        for (int id = 1; id <= 32; id++) {
+            client.send(Client.query(id, Client.trace(), PATIENCE, OWN));
+        }
+        String trace = Client.trace();
+        List<?> turnedAway = client.send(Client.query(33, trace, PATIENCE, OWN)).read();
+        assertEquals(List.of(33L, "Shed"), List.of(turnedAway.get(1), Client.error(turnedAway)));
+        refused(trace);
+        assertTrue(silent.seen("fetch").stream().noneMatch(command -> command.id().equals(trace)));
+    }
+
     /** The same sixteen digits, written otherwise. */
     @Example
     void theCaseOfItsDigitsMakesNoOtherTrace() throws Exception {
