--- a/src/test/java/reedspring/net/StallsIT.java
+++ b/src/test/java/reedspring/net/StallsIT.java
@@ -26,6 +26,8 @@
 
 /** Stalls that are forced, on a loop of this process and in a started front, and what the log says. */
 class StallsIT extends Started {
+    /** More than a span of the log. */
+    private static final int MOST_STOPS = 12;
     private final List<String> lines = new CopyOnWriteArrayList<>();
     private Front inside;
 
@@ -135,17 +137,25 @@
         start(engine(1));
         serves();
         Thread.sleep(2_600);
-        front.signal("-STOP");
-        Thread.sleep(700);
-        front.signal("-CONT");
-        await("its line", () -> front.logged("event loop stalled, stopped or blocked: "));
-        String line = front.log.stream().filter(l -> l.contains("stopped or blocked: ")).findFirst()
-                .orElseThrow();
-        long ms = Long.parseLong(line.replaceAll(".*blocked: (\\d+) ms;.*", "$1"));
-        assertTrue(ms > 400 && ms < 1_000, line);
+        // Of a kind one line is written in 10 s, and on a busy machine a start may have taken it.
+        for (int stops = 1; lineOfAStop() == null && stops <= MOST_STOPS; stops++) {
+            front.signal("-STOP");
+            Thread.sleep(700);
+            front.signal("-CONT");
+            Thread.sleep(700);
+        }
+        assertTrue(lineOfAStop() != null, front.log::toString);
         serves();
     }
 
+    private String lineOfAStop() {
+        return front.log.stream().filter(line -> line.contains("event loop stalled, stopped or blocked: "))
+                .filter(line -> {
+                    long ms = Long.parseLong(line.replaceAll(".*blocked: (\\d+).*", "$1"));
+                    return ms > 400 && ms < 1_000 && line.contains(" ms;");
+                }).findFirst().orElse(null);
+    }
+
     @Example
     void aFrontThatServesTellsOfNoStallOfItsOwn() throws Exception {
         start(engine(1));
