--- a/review/src/review/Kit.java
+++ b/review/src/review/Kit.java
@@ -588,6 +588,8 @@
         final Socket socket;
         final Map<Long, List<Answer>> answers = new ConcurrentHashMap<>();
         volatile boolean ended;
+        /** When the end of the connection was read. */
+        volatile long endedAt;
         private long lastId;
 
         Client(String address) throws IOException {
@@ -614,6 +616,7 @@
                                         : String.valueOf(body), now()));
                     }
                 } finally {
+                    endedAt = now();
                     ended = true;
                 }
             });
