Review case 3 is another: a storm of connections loses requests on connections in use

The new case: making room closes connections in use that rest at that moment; closeGracefully throws their input away at once, but its FIN waits for the end of a turn that accepts up to 4,096 connections.

In Kit.java a list of answers is no longer seen empty: in a run before, 3 client threads had ended by that.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,8 +5,8 @@
 root="$(cd "$here/../.." && pwd)"
 cd "$root" || exit 2
 rm -f "$here/record.txt"
-if [ ! -e target/reedspring.jar ] || [ ! -e review/build/review/Memory.class ]; then
+if [ ! -e target/reedspring.jar ] || [ ! -e review/build/review/Storm.class ]; then
     echo "build the program and review/build.sh first" | tee "$here/record.txt"
     exit 2
 fi
-exec java -Xmx1g -cp review/build review.Memory "$root" "$here/record.txt"
+exec java -Xmx1g -cp review/build review.Storm "$root" "$here/record.txt"
--- a/review/src/review/Kit.java
+++ b/review/src/review/Kit.java
@@ -609,11 +609,15 @@
                         Object body = result == null ? null : result.get(0);
                         String pause = error != null && error.get(1) instanceof Map<?, ?> map
                                 ? (String) map.get("pause") : null;
-                        answers.computeIfAbsent(id, k -> new CopyOnWriteArrayList<>()).add(new Answer(id,
-                                error == null ? null : (String) error.get(0), pause,
+                        Answer answer = new Answer(id, error == null ? null : (String) error.get(0), pause,
                                 body instanceof byte[] bytes
                                         ? new String(bytes, StandardCharsets.ISO_8859_1)
-                                        : String.valueOf(body), now()));
+                                        : String.valueOf(body), now());
+                        // In one step: a list is never seen empty.
+                        answers.merge(id, new CopyOnWriteArrayList<>(List.of(answer)), (before, added) -> {
+                            before.addAll(added);
+                            return before;
+                        });
                     }
                 } finally {
                     endedAt = now();
