One peer's input no longer holds the event loop: reads are bounded in each turn

Cause: before a query is sent its client's socket was read until it was empty, up to 256 passes of 16 reads. Each pass flushed answers, upon which the client sent as much again, so one look went on for seconds; after a turn of over 10 ms each ordinary read did the same. Evidence: of six thread dumps of during the flood, a second apart, four stand in SocketReads.readAll below Front.sendQueued, two in decisions on requests read by the selector; the log has no line for 9 s (one turn).

Input is decoded in slices; the rest comes in the next turn, behind the other sockets (EventLoopTurns.runInNextTurn). A look before a send that does not come to the end leaves its query for the next turn, others' queries go; after eight turns it is turned away, as it would hold the bound on threads. Submissions are bounded in a turn, too.

--- a/src/main/java/reedspring/net/AnswerDecoder.java
+++ b/src/main/java/reedspring/net/AnswerDecoder.java
@@ -32,6 +32,7 @@
     private int partLength;
     private int answerBytes;
     private long decodedBytes;
+    private long answerCount;
 
     AnswerDecoder(Limits limits) {
         this.limits = limits;
@@ -42,6 +43,11 @@
         return decodedBytes;
     }
 
+    /** The number of complete answers so far. */
+    long answerCount() {
+        return answerCount;
+    }
+
     /** One complete answer. The receiver releases the body. */
     record Answer(String id, String kind, Map<String, String> fields, ByteBuf body) {
     }
@@ -111,6 +117,7 @@
         expectedParts = 0;
         receivedParts = 0;
         decodedBytes += answerBytes;
+        answerCount++;
         Answer answer = new Answer(takeText(0), takeText(1), parseFields(takeText(2)), parts[3]);
         parts[3] = null;
         ctx.fireChannelRead(answer);
--- a/src/main/java/reedspring/net/ClientConnection.java
+++ b/src/main/java/reedspring/net/ClientConnection.java
@@ -56,8 +56,9 @@
     /** @param connectedAfter a time before the client connected */
     ClientConnection(Front front, long connectedAfter) {
         this.front = front;
-        this.socketReads = new SocketReads(new ArrivalBound(front.turns(), front.clock(), connectedAfter));
         this.decoder = new RpcDecoder(front.limits(), front::addPartialMessageBytes);
+        this.socketReads = new SocketReads(front, front.limits().clientReads, decoder::messageCount,
+                new ArrivalBound(front.turns(), front.clock(), connectedAfter));
         this.lastUsedAt = front.clock().now();
         this.lastProgressAt = lastUsedAt;
     }
@@ -345,7 +346,8 @@
             close(CloseReason.NOT_READING);
         } else if (isIdleSince(now - front.limits().clientIdleMs * 10L)) {
             // There may be a request in the socket, not yet read.
-            if (readAndCheckOpen() && isIdleSince(now - front.limits().clientIdleMs * 10L)) {
+            if (readPresence() == Presence.CONNECTED
+                    && isIdleSince(now - front.limits().clientIdleMs * 10L)) {
                 closeGracefully(CloseReason.IDLE);
             }
         } else if (!everUsed && ++unusedTicks > front.limits().silentTicks) {
@@ -450,20 +452,31 @@
         abandoned.forEach(q -> front.clientLeft(q, closedByFront));
     }
 
+    /** What is known of a client after its socket has been read as far as one turn allows. */
+    enum Presence {
+        /** All its input has been read, and its connection is open. */
+        CONNECTED,
+        /** Its connection is closed, or about to be. */
+        GONE,
+        /** It has sent more than may be read in this turn, perhaps a revoke or the end. */
+        UNKNOWN
+    }
+
     /**
-     * Reads the socket to its end and returns whether the connection is still open. After a stall of the loop
-     * a query, its revoke and the close may all wait in the socket, and one selector wake-up reads only part.
+     * Reads the socket and returns whether the client is still connected. After a stall of the loop a query,
+     * its revoke and the close may all wait in the socket, and one selector wake-up reads only part.
      */
-    boolean readAndCheckOpen() {
+    Presence readPresence() {
         Channel connection = context.channel();
-        if (!closing) {
-            socketReads.readAll(connection);
-        }
+        boolean allRead = closing || socketReads.readToEnd(connection);
         if (!connection.isOpen()) {
             // Netty calls channelInactive only in a later task.
             releaseQueries();
         }
-        return connection.isOpen() && !closing;
+        if (!connection.isOpen() || closing) {
+            return Presence.GONE;
+        }
+        return allRead ? Presence.CONNECTED : Presence.UNKNOWN;
     }
 
     /** Returns whether queries are open or pages are being read. */
--- a/src/main/java/reedspring/net/ClientConnections.java
+++ b/src/main/java/reedspring/net/ClientConnections.java
@@ -98,8 +98,8 @@
      * socket, and closing it would lose that request.
      */
     private static boolean mustBeKept(ClientConnection client) {
-        return !client.readAndCheckOpen() || client.hasOpenWork() || client.hasPartialMessage()
-                || client.hasPendingBytes();
+        return client.readPresence() != ClientConnection.Presence.CONNECTED || client.hasOpenWork()
+                || client.hasPartialMessage() || client.hasPendingBytes();
     }
 
     /** Moves a connection that had a valid request or an answer to the end of the closing order. */
--- a/src/main/java/reedspring/net/EngineConnection.java
+++ b/src/main/java/reedspring/net/EngineConnection.java
@@ -49,7 +49,7 @@
     private final Set<String> runningTraces = new LinkedHashSet<>();
     private final AnswerDecoder decoder;
     private final RowValidator rowValidator;
-    private final SocketReads socketReads = new SocketReads();
+    private final SocketReads socketReads;
     private Channel channel;
     private long decodedAtLastCheck;
     private int stalledChecks;
@@ -70,6 +70,7 @@
         this.engineUp = engineUp;
         this.onClosed = onClosed;
         this.decoder = new AnswerDecoder(limits);
+        this.socketReads = new SocketReads(front, limits.engineReads, decoder::answerCount);
         this.lastUsedAt = front.clock().now();
     }
 
@@ -167,7 +168,7 @@
         if (openSubmissions.size() > 1 || !everSent) {
             return true;
         }
-        socketReads.readAll(channel);
+        socketReads.readToEnd(channel);
         retired |= !channel.isOpen();
         return channel.isOpen();
     }
--- a/src/main/java/reedspring/net/EventLoopTurns.java
+++ b/src/main/java/reedspring/net/EventLoopTurns.java
@@ -21,6 +21,7 @@
 final class EventLoopTurns implements IoHandlerFactory {
     private final IoHandlerFactory nioFactory = NioIoHandler.newFactory();
     private final List<Runnable> afterReading = new ArrayList<>();
+    private final List<Runnable> forNextTurn = new ArrayList<>();
     private StallProbe probe;
     private long turnNumber;
     private long pollStartNanos = System.nanoTime();
@@ -49,11 +50,64 @@
         afterReading.remove(callback);
     }
 
+    /**
+     * Runs a task once in the next turn, after the ready sockets have been read; the loop does not wait for
+     * sockets before it. On the loop's thread only.
+     */
+    void runInNextTurn(Runnable task) {
+        forNextTurn.add(task);
+    }
+
     /** Has the probe measure the turns, from the next one on. */
     void measureWith(StallProbe stallProbe) {
         probe = stallProbe;
     }
 
+    private void runTasks(List<Runnable> tasks) {
+        for (Runnable task : tasks) {
+            if (probe == null) {
+                task.run();
+                continue;
+            }
+            probe.beginWork("work left from the last turn");
+            try {
+                task.run();
+            } finally {
+                probe.endWork();
+            }
+        }
+    }
+
+    /** A context with which the selector only looks and doesn't wait. */
+    private static IoHandlerContext withoutWaiting(IoHandlerContext context) {
+        return new IoHandlerContext() {
+            @Override
+            public boolean canBlock() {
+                return false;
+            }
+
+            @Override
+            public long delayNanos(long currentTimeNanos) {
+                return 0;
+            }
+
+            @Override
+            public long deadlineNanos() {
+                return context.deadlineNanos();
+            }
+
+            @Override
+            public void reportActiveIoTime(long activeNanos) {
+                context.reportActiveIoTime(activeNanos);
+            }
+
+            @Override
+            public boolean shouldReportActiveIoTime() {
+                return context.shouldReportActiveIoTime();
+            }
+        };
+    }
+
     /** How long the loop may wait in its selector, in nanoseconds. */
     private static long maxWaitNanos(IoHandlerContext context) {
         return context.canBlock() ? context.delayNanos(System.nanoTime()) : 0;
@@ -107,7 +161,10 @@
         IoHandler nioHandler = nioFactory.newHandler(executor);
         return new IoHandler() {
             @Override
-            public int run(IoHandlerContext context) {
+            public int run(IoHandlerContext loopContext) {
+                List<Runnable> leftOver = List.copyOf(forNextTurn);
+                forNextTurn.clear();
+                IoHandlerContext context = leftOver.isEmpty() ? loopContext : withoutWaiting(loopContext);
                 if (probe != null) {
                     probe.beginTurn(maxWaitNanos(context));
                 }
@@ -118,6 +175,7 @@
                 if (probe != null) {
                     probe.socketsRead();
                 }
+                runTasks(leftOver);
                 // By index, as a callback may stop its front and remove itself from the list.
                 for (int k = 0; k < afterReading.size(); k++) {
                     afterReading.get(k).run();
--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -25,6 +26,7 @@
 import reedspring.core.policy.QueryLifecycle.SendFacts;
 import reedspring.core.policy.QueryLifecycle.Verdict;
 import reedspring.core.policy.RecentIds;
+import reedspring.net.ClientConnection.Presence;
 import reedspring.net.QueryHistory.Step;
 
 /**
@@ -62,6 +64,7 @@
     private final Map<Long, OpenQuery> queriesByTrace = new HashMap<>();
     private final RecentIds recentTraces;
     private final ClientConnections clientConnections;
+    private boolean sendScheduled;
     private boolean deciding;
     private boolean enginesListed;
     private boolean leaving;
@@ -312,15 +315,19 @@
         }
     }
 
-    /** Answers a query whose connection is about to be closed: deferred if a retry is safe, else failed. */
+    /** Answers a query whose connection is about to be closed. */
     void answerBeforeClose(OpenQuery q) {
-        if (q.answered()) {
-            return;
+        if (!q.answered()) {
+            abandon(q, "the connection had to end");
         }
+    }
+
+    /** Ends an open query: deferred if a retry is safe, else failed for the given reason. */
+    private void abandon(OpenQuery q, String reason) {
         if (q.lifecycle.answerIfGivenUp() == Answer.DEFERRED) {
             defer(q, limits.retryAfterMs * 10L);
         } else {
-            fail(q, "the connection had to end");
+            fail(q, reason);
         }
         enqueueEvent(new Event.Left(q.id));
         releaseIfDone(q);
@@ -530,35 +537,72 @@
     /** Queues a submission whose connection is up; it is sent after this loop iteration's reads. */
     void queueForSending(Submission s) {
         sendQueue.add(s);
-        if (sendQueue.size() == 1) {
+        if (!sendScheduled) {
+            sendScheduled = true;
             loop.execute(this::sendQueued);
         }
     }
 
     /**
-     * Sends the queued submissions; there is no other path to an engine. The loop may have stalled since the
-     * decision, so the journal, the client and the connection are checked again right before the write. A
-     * submission that may no longer be sent is reported as never run.
+     * Sends the queued submissions, a limited number in a turn; there is no other path to an engine. The loop
+     * may have stalled since the decision, so the journal, the client and the connection are checked again
+     * right before the write. A submission that may no longer be sent is reported as never run.
      */
     private void sendQueued() {
-        for (Submission s = sendQueue.poll(); s != null; s = sendQueue.poll()) {
+        List<Submission> postponed = new ArrayList<>();
+        for (int sent = 0; sent < limits.submissionsPerTurn && !sendQueue.isEmpty(); sent++) {
+            Submission s = sendQueue.poll();
             try {
-                sendQueued(s);
+                if (!sendIfClientIsRead(s)) {
+                    postponed.add(s);
+                }
             } catch (RuntimeException | Error e) {
                 // Its own timeout ends it; the other submissions must still be sent.
                 log.error("a submission failed", e);
             }
         }
+        if (!sendQueue.isEmpty()) {
+            recordBudgetMet(LoopBudget.SUBMISSIONS, sendQueue.size() + " left");
+        }
+        sendQueue.addAll(postponed);
+        sendScheduled = !sendQueue.isEmpty();
+        if (sendScheduled) {
+            turns.runInNextTurn(this::sendQueued);
+        }
+    }
+
+    /** Counts that a limit of one turn of the event loop was reached. */
+    void recordBudgetMet(LoopBudget budget, String detail) {
+        counters.add(budget);
+        log.warn(budget.event(), detail);
     }
 
-    private void sendQueued(Submission s) {
+    /**
+     * Sends a submission, or ends it, once all that its client has sent by now is read: a revoke or the end
+     * may lie behind its request. Returns false if there is more to read than this turn allows.
+     */
+    private boolean sendIfClientIsRead(Submission s) {
         readJournal();
-        // The client may have closed or revoked during a stall of the loop: its close or revoke then waits
-        // behind the request in the socket, as the selector has not reported it yet.
-        boolean clientConnected = s.query.client == null || s.ended || s.query.client.readAndCheckOpen();
+        Presence client = s.query.client == null || s.ended ? Presence.CONNECTED
+                : s.query.client.readPresence();
         if (s.ended || s.connection == null) {
-            return;
+            return true;
         }
+        if (client != Presence.UNKNOWN) {
+            send(s, client == Presence.CONNECTED);
+            return true;
+        }
+        if (++s.unfinishedLooks < limits.maxUnfinishedLooks) {
+            return false;
+        }
+        counters.add(RequestRefusal.CLIENT_NEVER_READ);
+        log.warn("query turned away, its client sends without a pause", s.query.trace);
+        abandon(s.query, "the client sends too much");
+        submissionEnded(s, Outcome.NOT_SENT);
+        return true;
+    }
+
+    private void send(Submission s, boolean clientConnected) {
         if (!s.connection.checkOpen()) {
             // The engine closed the idle connection. Nothing was written, so use another connection.
             Id.Engine engine = new Id.Engine(s.connection.engine());
@@ -687,8 +731,10 @@
 
     private void logCounts() {
         String counts = counters.changedCounts();
+        String longestTurn = stallProbe.takeLongestTurn();
         if (counts != null) {
             log.info("counts since the start:", counts);
+            log.info("longest turn of the loop since the last count:", longestTurn);
         }
     }
 
--- a/src/main/java/reedspring/net/Journal.java
+++ b/src/main/java/reedspring/net/Journal.java
@@ -125,11 +125,13 @@
 
     /** One subscription to the journal's event stream, from connecting to closing. */
     private final class Subscription extends ChannelInboundHandlerAdapter {
-        private final SocketReads socketReads = new SocketReads();
+        private final SocketReads socketReads =
+                new SocketReads(front, limits.journalReads, () -> this.eventCount);
         private final EventStream events = new EventStream(limits.maxJournalEventBytes,
                 limits.journalActivityBytes, new EventStream.Listener() {
                     @Override
                     public void event(String id, byte[] data, int length) {
+                        eventCount++;
                         onEvent(id, data, length);
                     }
 
@@ -139,6 +141,7 @@
                     }
                 });
         private Channel channel;
+        private long eventCount;
         private long lastReceivedAt;
         private boolean connected;
         private boolean accepted;
@@ -212,7 +215,7 @@
 
         private void readNow() {
             if (!reading && channel.isActive()) {
-                socketReads.readAll(channel);
+                socketReads.readToEnd(channel);
             }
         }
 
--- a/src/main/java/reedspring/net/Limits.java
+++ b/src/main/java/reedspring/net/Limits.java
@@ -52,6 +52,21 @@
     final int initialReadBytes = 2048;
     final int maxReadBytes = 16_384;
 
+    // What one turn of the event loop may spend on one connection, and on submissions.
+    /** Clients: as many messages as a client may have open requests. */
+    final ReadBudget.Limit clientReads =
+            new ReadBudget.Limit(LoopBudget.CLIENT_READS, socketBytes, maxClientQueries, 1 << 10);
+    /** Engines: the answers of a connection's usual number of submissions, 48 kB each. */
+    final ReadBudget.Limit engineReads = new ReadBudget.Limit(LoopBudget.ENGINE_READS, 1 << 18, 128, 1 << 12);
+    /** The journal service: events, each of which may hold a list of all engines. */
+    final ReadBudget.Limit journalReads = new ReadBudget.Limit(LoopBudget.JOURNAL_READS, 1 << 18, 4, 1 << 12);
+    final int submissionsPerTurn = 128;
+    /**
+     * Turns for which a query waits until its client's input has been read to the end. A client that sends
+     * more than that without a pause has its query turned away, as nobody knows whether it is still there.
+     */
+    final int maxUnfinishedLooks = 8;
+
     // All queries and the memory held for them: statements, unfinished messages, answers.
     final int queries = 2048;
     /** Traces of accepted queries that are remembered; some 60 bytes each, up to twice as many are held. */
--- /dev/null
+++ b/src/main/java/reedspring/net/ReadBudget.java
@@ -0,0 +1,63 @@
+package reedspring.net;
+
+import java.util.function.LongSupplier;
+
+/**
+ * How much input of one connection may be handled in one turn of the event loop. Whatever its peer adds
+ * meanwhile waits in the socket until the other connections have had their turn.
+ */
+final class ReadBudget {
+    /**
+     * The limits of one kind of connection.
+     *
+     * @param kind what is counted when a connection reaches its limit
+     * @param bytes bytes that may be read in one turn
+     * @param messages decoded messages in one turn at which no more input is handled
+     * @param sliceBytes input that is decoded before the messages are counted again
+     */
+    record Limit(LoopBudget kind, int bytes, int messages, int sliceBytes) {
+    }
+
+    private final EventLoopTurns turns;
+    private final Limit limit;
+    private final LongSupplier messageCount;
+    private long turn = -1;
+    private int bytesRead;
+    private long messagesBefore;
+
+    /** @param messageCount messages decoded on the connection so far */
+    ReadBudget(EventLoopTurns turns, Limit limit, LongSupplier messageCount) {
+        this.turns = turns;
+        this.limit = limit;
+        this.messageCount = messageCount;
+    }
+
+    Limit limit() {
+        return limit;
+    }
+
+    /** Adds bytes that were read in this turn. */
+    void addBytes(int count) {
+        startTurn();
+        bytesRead += count;
+    }
+
+    /** Returns whether no more bytes may be read in this turn. */
+    boolean isExhausted() {
+        return areMessagesExhausted() || bytesRead >= limit.bytes();
+    }
+
+    /** Returns whether no more input may be decoded in this turn. */
+    boolean areMessagesExhausted() {
+        startTurn();
+        return messageCount.getAsLong() - messagesBefore >= limit.messages();
+    }
+
+    private void startTurn() {
+        if (turn != turns.turnNumber()) {
+            turn = turns.turnNumber();
+            bytesRead = 0;
+            messagesBefore = messageCount.getAsLong();
+        }
+    }
+}
--- a/src/main/java/reedspring/net/RequestRefusal.java
+++ b/src/main/java/reedspring/net/RequestRefusal.java
@@ -9,5 +9,7 @@
     /** The trace was used by an earlier query. */
     TRACE_REPEATED,
     /** A limit on queries or memory is reached. */
-    NO_ROOM
+    NO_ROOM,
+    /** Its client sends without a pause, so that the front could not tell whether it is still there. */
+    CLIENT_NEVER_READ
 }
--- a/src/main/java/reedspring/net/Shutdown.java
+++ b/src/main/java/reedspring/net/Shutdown.java
@@ -45,10 +45,11 @@
         }
         List<ClientConnection> open = clientConnections.openConnections();
         // Requests can arrive only on connections that are still open. What is unread there is accepted.
-        open.forEach(ClientConnection::readAndCheckOpen);
+        boolean unread = open.stream().map(ClientConnection::readPresence).toList()
+                .contains(ClientConnection.Presence.UNKNOWN);
         // One loop turn accepts a limited number of connections and reads only part of a long request. After
         // a stall of the loop the others still wait in the accept queue, which closing the listener resets.
-        boolean mayHoldMore = acceptedMore || front.mayHaveUnacceptedConnections()
+        boolean mayHoldMore = acceptedMore || unread || front.mayHaveUnacceptedConnections()
                 || open.stream().anyMatch(ClientConnection::hasPartialMessage);
         if ((mayHoldMore || !front.allAnswered()) && elapsedTicks < limits.shutdownAnsweredMs * 10L) {
             checkLater();
--- a/src/main/java/reedspring/net/StallProbe.java
+++ b/src/main/java/reedspring/net/StallProbe.java
@@ -55,6 +55,10 @@
     private long longestDecision;
     private Class<?> decided;
 
+    // The longest turn since it was last asked for.
+    private long longestTurnNanos;
+    private String longestTurnWork = "none";
+
     /** @param minStallMs shortest duration that is reported as a stall */
     StallProbe(Log log, int minStallMs) {
         this(log, minStallMs, System::nanoTime, new ThreadTimes());
@@ -77,6 +81,7 @@
             sample(now);
         } else {
             long stallNanos = now - Math.min(wokeAt == 0 ? now : wokeAt, freeUntil);
+            recordTurn(stallNanos);
             if (stallNanos >= minStallNanos) {
                 report(now, stallNanos);
             } else if (now - sampledAt >= SAMPLE_INTERVAL_NANOS) {
@@ -91,6 +96,22 @@
         decided = null;
     }
 
+    private void recordTurn(long turnNanos) {
+        if (turnNanos > longestTurnNanos) {
+            longestTurnNanos = turnNanos;
+            longestTurnWork = (longestWorkName == null ? "task" : longestWorkName) + " "
+                    + longestWork / NANOS_PER_MS + " ms";
+        }
+    }
+
+    /** Returns the longest turn since the last call, with the longest unit of work in it. */
+    String takeLongestTurn() {
+        String text = longestTurnNanos / NANOS_PER_MS + " ms, in it " + longestTurnWork;
+        longestTurnNanos = 0;
+        longestTurnWork = "none";
+        return text;
+    }
+
     /** Notes that the ready sockets of this turn have been read. */
     void socketsRead() {
         markAwake(nanoClock.getAsLong());
--- a/src/main/java/reedspring/net/Submission.java
+++ b/src/main/java/reedspring/net/Submission.java
@@ -20,6 +20,8 @@
     Timers.Timer timeoutTimer;
     boolean written;
     boolean ended;
+    /** Turns in which its client's input could not be read to the end before it was to be sent. */
+    int unfinishedLooks;
     /** Set once the engine has finished the query: the pages, null where one is still missing. */
     ByteBuf[] pages;
     int missingPages;
