A stall of the front no longer cuts off clients with unread answers

Cause: whether a client reads its answers was judged by the clock, 10 s since the last progress. After a turn of the loop of 11 s, or a stop of the process, the next check found answers that the front itself had not written meanwhile, and closed the connection. The half-closed state had the same rule.

Change: both limits are counted in the front's periodic checks (40 of 250 ms, 10 of 1 s), as the other limits on clients were already.

--- a/src/main/java/reedspring/net/ClientConnection.java
+++ b/src/main/java/reedspring/net/ClientConnection.java
@@ -45,8 +45,9 @@
     private int stalledMessageTicks;
     private long lastMessageCount;
     private long lastByteCount;
-    /** When the client last read bytes of its pending answers. */
-    private long lastProgressAt;
+    /** Consecutive checks at which the client had read none of its pending answers. */
+    private int unreadTicks;
+    private int unreadLingerChecks;
 
     /** Creates a connection that is accepted now. */
     ClientConnection(Front front) {
@@ -60,7 +61,6 @@
         this.socketReads = new SocketReads(front, front.limits().clientReads, decoder::messageCount,
                 new ArrivalBound(front.turns(), front.clock(), connectedAfter));
         this.lastUsedAt = front.clock().now();
-        this.lastProgressAt = lastUsedAt;
     }
 
     /** Returns whether part of a message has been received. */
@@ -332,16 +332,18 @@
         }
     }
 
-    /** Runs the periodic checks: closes connections that are stalled, idle, unused or stuck in a message. */
+    /**
+     * Runs the periodic checks: closes connections that are stalled, idle, unused or stuck in a message. What
+     * a client has to do is counted in checks, not in time: a stall of the front must not count against it.
+     */
     void tick(long now) {
         reregisterIfMissed();
         long pendingBytes = pendingBytes();
-        if (pendingBytes == 0 || pendingBytes < lastPendingBytes || answerFlushed) {
-            lastProgressAt = now;
-        }
+        boolean progress = pendingBytes == 0 || pendingBytes < lastPendingBytes || answerFlushed;
+        unreadTicks = progress ? 0 : unreadTicks + 1;
         answerFlushed = false;
         lastPendingBytes = pendingBytes;
-        if (now - lastProgressAt >= front.limits().clientStallMs * 10L) {
+        if (unreadTicks >= front.limits().clientStallTicks) {
             front.log().warn("client connection closed, client does not read", pendingBytes + " bytes wait");
             close(CloseReason.NOT_READING);
         } else if (isIdleSince(now - front.limits().clientIdleMs * 10L)) {
@@ -361,8 +363,7 @@
 
     /**
      * Returns whether a message has been incomplete for too long. A client that has been served may write
-     * slowly as long as bytes arrive, and the limit does not apply while it has requests open. Counted in
-     * periodic checks, not in time: a stall of the front must not count against the client.
+     * slowly as long as bytes arrive, and the limit does not apply while it has requests open.
      */
     private boolean isMessageOverdue() {
         boolean partial = decoder.hasPartialMessage() && decoder.messageCount() == lastMessageCount
@@ -408,7 +409,6 @@
         releaseQueries();
         front.clientConnections().addLingering(this);
         lastPendingBytes = Long.MAX_VALUE;
-        lastProgressAt = front.clock().now();
         scheduleLingerCheck();
         context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> {
             if (done.isSuccess() && context.channel() instanceof DuplexChannel duplex) {
@@ -426,10 +426,9 @@
     private void scheduleLingerCheck() {
         lingerTimer = front.timers().scheduleIn(front.limits().lingerMs * 10L, () -> {
             long pendingBytes = pendingBytes();
-            long now = front.clock().now();
-            lastProgressAt = pendingBytes < lastPendingBytes ? now : lastProgressAt;
+            unreadLingerChecks = pendingBytes < lastPendingBytes ? 0 : unreadLingerChecks + 1;
             lastPendingBytes = pendingBytes;
-            if (pendingBytes > 0 && now - lastProgressAt < front.limits().clientStallMs * 10L) {
+            if (pendingBytes > 0 && unreadLingerChecks < front.limits().clientStallLingerChecks) {
                 scheduleLingerCheck();
             } else {
                 close();
--- a/src/main/java/reedspring/net/Limits.java
+++ b/src/main/java/reedspring/net/Limits.java
@@ -38,8 +38,10 @@
     final int unfinishedTicks = 5;
     /** Limit for an unfinished message of a client that has been served and keeps writing slowly: 10 s. */
     final int slowMessageTicks = 40;
-    /** Time after which a client that reads none of its pending answers is disconnected. */
-    final int clientStallMs = 10_000;
+    /** Ticks after which a client that reads none of its pending answers is disconnected: 10 s. */
+    final int clientStallTicks = 40;
+    /** The same for a half-closed connection, in periods of {@link #lingerMs}. */
+    final int clientStallLingerChecks = 10;
     final int messageBytes = 1 << 18;
     final int messageValues = 256;
     /** An unfinished message up to this size is accepted even when {@link #heldBytes} is used up. */
--- a/src/test/java/reedspring/net/FloodIT.java
+++ b/src/test/java/reedspring/net/FloodIT.java
@@ -30,6 +30,8 @@
     private static final int LATEST_ANSWER_MS = PATIENCE_MS + 550;
     private static final int FLOOD_MS = 3_000;
     private static final int OPEN_REQUESTS = 300;
+    private static final int SLOW_BYTES_PER_SECOND = 1 << 22;
+    private static final int LONG_STALL_MS = 10_500;
     private static final String STATEMENT = "select 1 from flood_3.t where x = '" + "x".repeat(250) + "'";
 
     private static byte[] request(int id) {
@@ -139,6 +141,26 @@
         assertTrue(result.longestMs() <= LATEST_ANSWER_MS, () -> result + " " + front.log);
     }
 
+    /** After a turn of 11 s the front cut off clients with unread answers, as if they had read nothing. */
+    @Example
+    void aLongStallCutsOffNoClientWithUnreadAnswers() throws Exception {
+        start(engine(8));
+        int queries = 16;
+        Client client = open(new Client(Integer.parseInt(front.listenAddress.substring(
+                front.listenAddress.indexOf(':') + 1)), SLOW_BYTES_PER_SECOND));
+        for (int id = 1; id <= queries; id++) {
+            client.send(Client.query(id, Client.trace(), PATIENCE, "select"));
+        }
+        Thread.sleep(FLOOD_MS / 2);
+        front.sendSignal("-STOP");
+        Thread.sleep(LONG_STALL_MS);
+        front.sendSignal("-CONT");
+        Thread.sleep(FLOOD_MS / 2);
+        Map<Long, List<?>> answers = client.read(queries);
+        assertTrue(answers.values().stream().allMatch(answer -> Client.rows(answer) != null),
+                front.log::toString);
+    }
+
     /** An engine that reports progress without a pause and answers nothing. */
     @Example
     void floodingEngineDelaysNoOther() throws Exception {
