A client sees the end of its connection when the front stops reading it, not later

Cause: closeGracefully threw all further input away at once, but sent the end of the stream in the listener of a flush, and a flush outside a read is put off to a later task of the loop (FlushConsolidationHandler). What the client wrote until the turn was over could not be answered, and it could not know. A close after 2 s without a valid request, or within a message, did not look into the socket first, and one after 60 s of rest did not count part of a message.

Change: a close flushes and shuts the output down in the same step. Where answers wait before the end, requests are still read and turned away (Shed). Closes by the periodic check read the socket first; rest counts from the last byte. Above the limit on closing connections one whose end has left goes first.

--- a/src/main/java/reedspring/net/ClientConnection.java
+++ b/src/main/java/reedspring/net/ClientConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.DecoderException;
+import io.netty.handler.flush.FlushConsolidationHandler;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -28,6 +29,8 @@
     /** Answers written but not yet flushed to the socket; they count against the limit on open queries. */
     private int unsentAnswers;
     private boolean closing;
+    /** Whether the client can see the end of the stream: what it sends from now on is not handled. */
+    private boolean outputEnded;
     /** Whether the front, not the client, closed the connection. */
     private boolean closedByFront;
     private boolean connectionLost;
@@ -86,7 +89,7 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         front.stallProbe().nameWork("client message");
         lastUsedAt = front.clock().now();
-        if (closing || !ctx.channel().isOpen()) {
+        if (outputEnded || !ctx.channel().isOpen()) {
             // Read in one go with the message that caused the close, but behind it.
             if (message instanceof RpcDecoder.Request request && request.body() != null) {
                 request.body().release();
@@ -106,7 +109,10 @@
 
     private void handleRequest(RpcDecoder.Request request) {
         try {
-            if (openQueries.containsKey(request.id())) {
+            if (closing) {
+                // The end can't be sent before the last answers, so this may still count as taken.
+                turnAwayWhileClosing(request);
+            } else if (openQueries.containsKey(request.id())) {
                 // An answer under this id could belong to either request, so neither may get rows.
                 closeForReusedId(request.id(), "the id is open already");
             } else if (request.fault() != null) {
@@ -135,6 +141,17 @@
         }
     }
 
+    private void turnAwayWhileClosing(RpcDecoder.Request request) {
+        if (unsentAnswers > front.limits().maxUnreadAnswers) {
+            close();
+        } else if (request.method().equals("heartbeat")) {
+            writeAnswer(RpcWriter.heartbeat(context.alloc(), request.id(), false));
+        } else {
+            front.recordTurnedAway(request);
+            turnAway(request.id());
+        }
+    }
+
     /** Handles a request to read a page of a kept answer, or to release it. */
     private void handleKeptAnswerRequest(RpcDecoder.Request request) {
         if (pageReads.contains(request.id())) {
@@ -309,8 +326,10 @@
         front.clientConnections().markUsed(this);
     }
 
+    /** Returns whether nothing was received or answered since {@code time}, and nothing is open. */
     boolean isIdleSince(long time) {
-        return openQueries.isEmpty() && lastUsedAt < time && !hasPendingBytes();
+        return !hasOpenWork() && lastUsedAt < time && socketReads.lastReadAt() < time
+                && !hasPartialMessage() && !hasPendingBytes();
     }
 
     boolean hasPendingBytes() {
@@ -353,11 +372,16 @@
                 closeGracefully(CloseReason.IDLE);
             }
         } else if (!everUsed && ++unusedTicks > front.limits().silentTicks) {
-            front.log().warn("client connection closed, no valid request received", "");
-            closeGracefully(CloseReason.NOTHING_OF_USE);
+            if (readPresence() != Presence.GONE && !everUsed) {
+                front.log().warn("client connection closed, no valid request received", "");
+                closeGracefully(CloseReason.NOTHING_OF_USE);
+            }
         } else if (isMessageOverdue()) {
-            front.log().warn("client connection closed, message incomplete for too long", "");
-            closeGracefully(CloseReason.UNFINISHED_MESSAGE);
+            long messagesBefore = decoder.messageCount();
+            if (readPresence() != Presence.GONE && decoder.messageCount() == messagesBefore) {
+                front.log().warn("client connection closed, message incomplete for too long", "");
+                closeGracefully(CloseReason.UNFINISHED_MESSAGE);
+            }
         }
     }
 
@@ -392,10 +416,10 @@
     }
 
     /**
-     * Closes the connection gracefully: flushes the last answers, shuts down the output, and reads and
-     * discards further input for a bounded time. A close with unread input would reset the connection and
-     * lose answers in flight. Requests read after the shutdown can't be answered, so they must not be sent to
-     * an engine; the client sees the end of the stream and retries elsewhere.
+     * Closes the connection gracefully: answers what is open, flushes at once, shuts down the output, and
+     * then reads and discards further input for a bounded time. A close with unread input would reset the
+     * connection and lose answers in flight. Until the end of the stream has left, requests are still
+     * answered; what is read after it can't be, and its client retries elsewhere.
      */
     void closeGracefully(CloseReason reason) {
         if (closing) {
@@ -404,17 +428,35 @@
         closing = true;
         closedByFront = true;
         front.counters().add(reason);
-        decoder.discardInput();
+        if (reason.isInputUnusable()) {
+            decoder.discardInput();
+        }
         answerOpenWork();
         releaseQueries();
         front.clientConnections().addLingering(this);
         lastPendingBytes = Long.MAX_VALUE;
         scheduleLingerCheck();
+        endOutputWhenFlushed();
+        // Bypasses the handler that delays flushes: the client has to see the end as soon as it is decided.
+        context.pipeline().context(FlushConsolidationHandler.class).flush();
+    }
+
+    /** Returns whether the end of the stream has been sent. */
+    boolean isOutputEnded() {
+        return outputEnded;
+    }
+
+    /** Shuts the output down once all answers, also those written meanwhile, are flushed. */
+    private void endOutputWhenFlushed() {
         context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> {
-            if (done.isSuccess() && context.channel() instanceof DuplexChannel duplex) {
-                duplex.shutdownOutput();
-            } else {
+            if (!done.isSuccess()) {
                 close();
+            } else if (unsentAnswers > 0) {
+                endOutputWhenFlushed();
+            } else if (context.channel() instanceof DuplexChannel duplex) {
+                outputEnded = true;
+                decoder.discardInput();
+                duplex.shutdownOutput();
             }
         });
     }
--- a/src/main/java/reedspring/net/ClientConnections.java
+++ b/src/main/java/reedspring/net/ClientConnections.java
@@ -58,7 +58,8 @@
     void addLingering(ClientConnection client) {
         if (lingeringConnections.size() >= limits.maxLingering && !front.isLeaving()) {
             // Each holds a descriptor; many closes at once must not use up those for engines and the journal.
-            ClientConnection oldest = lingeringConnections.iterator().next();
+            ClientConnection oldest = lingeringConnections.stream().filter(ClientConnection::isOutputEnded)
+                    .findFirst().orElseGet(() -> lingeringConnections.iterator().next());
             lingeringConnections.remove(oldest);
             oldest.close();
         }
--- a/src/main/java/reedspring/net/CloseReason.java
+++ b/src/main/java/reedspring/net/CloseReason.java
@@ -23,5 +23,10 @@
     /** The front is shutting down. */
     FRONT_ENDS,
     /** An internal error. */
-    FAULT
+    FAULT;
+
+    /** Returns whether further input on the connection can't be understood. */
+    boolean isInputUnusable() {
+        return this == BROKEN_FRAMING || this == NUMBER_USED_TWICE || this == FAULT;
+    }
 }
--- a/src/test/java/reedspring/net/LoopTest.java
+++ b/src/test/java/reedspring/net/LoopTest.java
@@ -128,6 +128,25 @@
         }
     }
 
+    /** The end of the stream was sent in a later task; what the client wrote until then was thrown away. */
+    @Example
+    void clientSeesTheEndOnceItsInputIsNoLongerRead() throws Exception {
+        Client client = open(new Client(startListener(engine())));
+        ask(client, 1, 5_000);
+        CountDownLatch release = new CountDownLatch(1);
+        loop.execute(() -> {
+            front.clientConnections().openConnections().forEach(each ->
+                    each.closeGracefully(CloseReason.IDLE));
+            awaitLatch(release);
+        });
+        client.socket.setSoTimeout(2_000);
+        try {
+            assertTrue(client.closedByFront(), "the end of the stream has left before the turn is over");
+        } finally {
+            release.countDown();
+        }
+    }
+
     /** A read that returned data does not show whether a close follows it. */
     @Example
     void clientCloseAfterDataIsSeenBeforeSend() throws Exception {
