A storm of connections takes no place of clients in use: accepts are bounded in each turn

Cause: after a turn of over 10 ms one turn accepted all that waited, up to 4,096 connections, before it read the first of their ends. Connections that their clients had long closed met the limit of 512 (NO_ROOM 2,453 times, although clients held 325 at most), and a client that rested at that moment was closed for each new one, before new ones that said nothing.

Change: AcceptGuard accepts a limited number in a turn (64 at 1,024 descriptors, by what fits between the clients' third and the limit). At the limit nothing is accepted until the ready sockets of the next turn have been read; only then another makes room or the newcomer is refused. New silent connections make room before clients in use once they hold over a quarter of all places.

ConnectionStormIT: two of three fail on (the storm; silent newcomers), all pass here; FrontIT's two tests at the limit pass.

--- a/src/main/java/reedspring/net/AcceptGuard.java
+++ b/src/main/java/reedspring/net/AcceptGuard.java
@@ -10,21 +10,33 @@
 import reedspring.core.policy.AcceptBackoff.Cause;
 
 /**
- * A handler between the listener and Netty's acceptor. It keeps accepting after a failed accept, where Netty
- * would pause for a second, and tracks a lower bound of the time at which an accepted connection arrived.
- * Times are in ticks; one tick is a tenth of a millisecond.
+ * A handler between the listener and Netty's acceptor. It bounds how many connections are accepted in one
+ * turn of the event loop, keeps accepting after a failed accept, where Netty would pause for a second, and
+ * tracks a lower bound of the time at which an accepted connection arrived. Times are in ticks; one tick is a
+ * tenth of a millisecond.
+ *
+ * <p>At the limit on connections it accepts no more until all ready sockets have been read: ends that lie
+ * there make room before another connection is closed for a new one, or a new one is refused.
  */
-final class AcceptGuard extends ChannelInboundHandlerAdapter {
+final class AcceptGuard extends ChannelInboundHandlerAdapter implements FrontServerSocketChannel.AcceptGate {
     /** Maximum number of connections that Netty accepts in one read loop. */
     private static final int ACCEPTS_PER_PASS = 16;
     /** An interrupted accept looks like an empty accept queue; two in a row count as empty. */
     private static final int EMPTY_PASSES = 2;
-    private static final int MAX_PASSES = 256;
 
     private final Front front;
     private final AcceptBackoff backoff = new AcceptBackoff();
     private ArrivalBound arrival;
     private int accepted;
+    /** Connections that Netty has accepted and not passed on yet. */
+    private int passedOnLater;
+    private long acceptTurn = -1;
+    private int acceptedInTurn;
+    /** Whether the gate refused an accept in the current read of the listener. */
+    private boolean heldBack;
+    /** Whether the ready sockets of this turn have been read, so that room may be made by closing others. */
+    private boolean afterReads;
+    private boolean continuationPlanned;
     private boolean acceptingAll;
     private boolean failed;
     private boolean paused;
@@ -53,6 +65,32 @@
         arrival = new ArrivalBound(front.turns(), front.clock(), front.clock().now());
         listener = ctx.channel();
         lastEmptyAt = front.clock().now();
+        if (listener instanceof FrontServerSocketChannel socket) {
+            socket.setAcceptGate(this);
+        }
+    }
+
+    @Override
+    public boolean mayAccept() {
+        startTurn();
+        boolean budgetLeft = acceptedInTurn < front.limits().acceptsPerTurn;
+        boolean roomLeft = afterReads || front.clientConnections().freePlaces() > passedOnLater;
+        heldBack |= !budgetLeft || !roomLeft;
+        return budgetLeft && roomLeft;
+    }
+
+    @Override
+    public void onAccept() {
+        startTurn();
+        acceptedInTurn++;
+        passedOnLater++;
+    }
+
+    private void startTurn() {
+        if (acceptTurn != front.turns().turnNumber()) {
+            acceptTurn = front.turns().turnNumber();
+            acceptedInTurn = 0;
+        }
     }
 
     /**
@@ -81,6 +119,7 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object connection) {
         accepted++;
+        passedOnLater = Math.max(0, passedOnLater - 1);
         selectorReported |= !acceptingAll;
         backoff.onSuccess();
         ctx.fireChannelRead(connection);
@@ -89,9 +128,9 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         if (!acceptingAll) {
-            boolean more = accepted >= ACCEPTS_PER_PASS;
-            if (!paused && arrival.mayHaveWaited()) {
-                // The queue filled during a stall: until it is empty, any connection in it may be that old.
+            boolean more = accepted >= ACCEPTS_PER_PASS || heldBack;
+            // If the queue filled during a stall, any connection in it may be old until it is empty.
+            if (!paused && (more || arrival.mayHaveWaited())) {
                 more = !acceptAll(ctx.channel());
             }
             if (more) {
@@ -103,9 +142,9 @@
     }
 
     /**
-     * Accepts all waiting connections.
+     * Accepts all waiting connections, as far as the limits of a turn and on connections allow.
      *
-     * @return false if an accept failed or the queue was not empty after the maximum number of passes
+     * @return false if an accept failed or connections may still be waiting
      */
     private boolean acceptAll(Channel listener) {
         if (!(listener.unsafe() instanceof AbstractNioChannel.NioUnsafe acceptor)) {
@@ -113,19 +152,47 @@
         }
         acceptingAll = true;
         failed = false;
+        heldBack = false;
         try {
             int emptyPasses = 0;
-            for (int pass = 0; pass < MAX_PASSES && emptyPasses < EMPTY_PASSES && !failed; pass++) {
+            while (emptyPasses < EMPTY_PASSES && !failed && !heldBack) {
                 int before = accepted;
                 acceptor.read();
                 emptyPasses = accepted == before ? emptyPasses + 1 : 0;
             }
-            return emptyPasses == EMPTY_PASSES;
+            if (heldBack) {
+                front.recordBudgetMet(LoopBudget.ACCEPTS, acceptedInTurn + " in a turn");
+                continueAfterReads();
+            }
+            return emptyPasses == EMPTY_PASSES && !heldBack;
         } finally {
             acceptingAll = false;
         }
     }
 
+    /** Accepts the rest once the ready sockets of the next turn have been read. */
+    private void continueAfterReads() {
+        if (continuationPlanned) {
+            return;
+        }
+        continuationPlanned = true;
+        front.turns().runInNextTurn(() -> {
+            continuationPlanned = false;
+            if (paused || !listener.isActive()) {
+                return;
+            }
+            afterReads = true;
+            try {
+                if (!acceptAll(listener)) {
+                    arrival.markNotEmptied();
+                }
+                accepted = 0;
+            } finally {
+                afterReads = false;
+            }
+        });
+    }
+
     /** Not forwarded: Netty's acceptor would disable the listener for a second. */
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
--- a/src/main/java/reedspring/net/ClientConnections.java
+++ b/src/main/java/reedspring/net/ClientConnections.java
@@ -37,15 +37,20 @@
         return lingeringConnections;
     }
 
+    /** Returns how many connections can be added before the limit is reached. */
+    int freePlaces() {
+        return Math.max(0, limits.clientConnections - unusedConnections.size() - usedConnections.size());
+    }
+
     /** Adds a connection, closing another if the limit is reached; returns false if it must be refused. */
     boolean add(ClientConnection client) {
         acceptedCount++;
-        if (unusedConnections.size() + usedConnections.size() >= limits.clientConnections) {
+        if (freePlaces() == 0) {
             front.log().warn("client connections at their limit", Integer.toString(limits.clientConnections));
-            ClientConnection idle = findEvictable();
-            if (idle != null) {
-                idle.closeGracefully(CloseReason.NO_ROOM);
-            } else if (unusedConnections.size() + usedConnections.size() >= limits.clientConnections) {
+            ClientConnection replaceable = findReplaceable();
+            if (replaceable != null) {
+                replaceable.closeGracefully(CloseReason.NO_ROOM);
+            } else if (freePlaces() == 0) {
                 front.counters().add(CloseReason.NO_ROOM);
                 return false;
             }
@@ -72,35 +77,36 @@
 
     /**
      * Returns the connection to close for a new one, or null. First come those that sent no valid request in
-     * their grace period, then the one idle for longest, as its client can reconnect. A fresh connection
-     * comes last: it is probably about to send a request, which would be lost.
+     * their grace period, and fresh ones if they hold a large part of all places; then the one idle for
+     * longest, as its client can reconnect. The other fresh ones come last: they are probably about to send a
+     * request, which would be lost.
      */
-    private ClientConnection findEvictable() {
+    private ClientConnection findReplaceable() {
         for (ClientConnection silent : List.copyOf(unusedConnections)) {
-            if (!silent.isPastGracePeriod()) {
+            boolean tooMany = unusedConnections.size() > limits.maxFreshConnections;
+            if (!silent.isPastGracePeriod() && !tooMany) {
                 break;
             }
-            if (!mustBeKept(silent)) {
+            if (isReplaceable(silent)) {
                 return silent;
             }
         }
         long now = front.clock().now();
         for (ClientConnection client : List.copyOf(usedConnections)) {
-            if (client.isIdleSince(now) && !client.hasPartialMessage() && !mustBeKept(client)) {
+            if (client.isIdleSince(now) && isReplaceable(client)) {
                 return client;
             }
         }
-        return unusedConnections.stream().findFirst().filter(oldest -> !mustBeKept(oldest)).orElse(null);
+        return unusedConnections.stream().findFirst().filter(ClientConnections::isReplaceable).orElse(null);
     }
 
     /**
-     * Reads the connection's socket and returns whether it must be kept or has already closed. A connection
-     * that seems idle after a stall of the loop, or right after its accept, may have a request unread in its
-     * socket, and closing it would lose that request.
+     * Reads the connection's socket and returns whether nobody waits for anything on it. After a stall of the
+     * loop, or right after the accept, a request may lie unread in the socket, and a close would lose it.
      */
-    private static boolean mustBeKept(ClientConnection client) {
-        return client.readPresence() != ClientConnection.Presence.CONNECTED || client.hasOpenWork()
-                || client.hasPartialMessage() || client.hasPendingBytes();
+    private static boolean isReplaceable(ClientConnection client) {
+        return client.readPresence() == ClientConnection.Presence.CONNECTED && !client.hasOpenWork()
+                && !client.hasPartialMessage() && !client.hasPendingBytes();
     }
 
     /** Moves a connection that had a valid request or an answer to the end of the closing order. */
--- a/src/main/java/reedspring/net/Limits.java
+++ b/src/main/java/reedspring/net/Limits.java
@@ -27,6 +27,8 @@
     final int maxLingering;
     /** Time after which an idle client is disconnected. */
     final int clientIdleMs = 60_000;
+    /** Connections without a valid request for which those in use may be closed. */
+    final int maxFreshConnections;
     /** Ticks after which a client that has sent no usable or no complete message is disconnected. */
     final int silentTicks = 8;
     /** Ticks after which a client that has sent nothing is the first to be closed at the connection limit. */
@@ -63,6 +65,8 @@
     /** The journal service: events, each of which may hold a list of all engines. */
     final ReadBudget.Limit journalReads = new ReadBudget.Limit(LoopBudget.JOURNAL_READS, 1 << 18, 4, 1 << 12);
     final int submissionsPerTurn = 128;
+    /** Connections accepted in one turn. */
+    final int acceptsPerTurn;
     /**
      * Turns for which a query waits until its client's input has been read to the end. A client that sends
      * more than that without a pause has its query turned away, as nobody knows whether it is still there.
@@ -168,6 +172,9 @@
         allEngineConnections = Math.max(4, Math.min(sockets / 4, available / 3));
         engineConnections = Math.max(1, Math.min(8, sockets / 64));
         clientConnections = Math.min(sockets / 2, available - allEngineConnections - maxLingering);
+        maxFreshConnections = clientConnections / 4;
+        // What clients hold, a third of the descriptors, and those accepted in one turn fit below the limit.
+        acceptsPerTurn = Math.max(1, Math.min(64, (clientConnections - sockets / 3) / 2));
         connectionQueries = Math.max(1, (int) deploymentReader.number("allowed.multiplex", 32));
         connectTimeoutMs = Math.max(1, (int) deploymentReader.number("allowed.connectTimeoutMs", 1_000));
         // The engine closes idle connections at the full time; the outcome of a submission sent in the same
--- a/src/main/java/reedspring/net/LoopBudget.java
+++ b/src/main/java/reedspring/net/LoopBudget.java
@@ -2,6 +2,8 @@
 
 /** What is bounded in one turn of the event loop; each is counted, and logged, when its limit is reached. */
 enum LoopBudget {
+    /** Connections that are accepted. */
+    ACCEPTS("accepts bounded"),
     /** Input of one client connection. */
     CLIENT_READS("reads of a client bounded"),
     /** Input of one engine connection. */
--- a/src/rig/java/reedspring/rig/FloodingClients.java
+++ b/src/rig/java/reedspring/rig/FloodingClients.java
@@ -57,7 +57,7 @@
                     sendWhenAnswered(client, toSend);
                 }
             } catch (IOException e) {
-                pause();
+                Rig.sleep(RECONNECT_DELAY_MS);
             }
         }
     }
@@ -124,14 +124,6 @@
         thread.start();
     }
 
-    private static void pause() {
-        try {
-            Thread.sleep(RECONNECT_DELAY_MS);
-        } catch (InterruptedException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     @Override
     public void close() throws IOException {
         stopping = true;
--- a/src/rig/java/reedspring/rig/Rig.java
+++ b/src/rig/java/reedspring/rig/Rig.java
@@ -26,6 +26,15 @@
     }
 
     /** Throws an {@link AssertionError} unless the condition holds. */
+    /** Sleeps; an interruption is an error, as nothing in the rig interrupts threads. */
+    public static void sleep(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     public static void require(boolean condition, String message) {
         if (!condition) {
             throw new AssertionError(message);
--- a/src/rig/java/reedspring/rig/SteadyClients.java
+++ b/src/rig/java/reedspring/rig/SteadyClients.java
@@ -72,7 +72,7 @@
                 askOn(client);
             } catch (IOException e) {
                 // The connection was refused, or ended while no request was open.
-                sleep(intervalMs);
+                Rig.sleep(intervalMs);
             }
         }
     }
@@ -80,7 +80,7 @@
     /** Asks on one connection until that ends. */
     private void askOn(Client client) throws IOException {
         for (int id = 1; !stopping; id++) {
-            sleep(intervalMs);
+            Rig.sleep(intervalMs);
             client.send(Client.query(id, Client.trace(), patienceMs, "select 1 from sales_17.orders"));
             long writtenAt = System.nanoTime();
             try {
@@ -110,14 +110,6 @@
         return (System.nanoTime() - nanos) / 1_000_000;
     }
 
-    private static void sleep(long ms) {
-        try {
-            Thread.sleep(ms);
-        } catch (InterruptedException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     @Override
     public void close() {
         stopping = true;
