--- a/src/rig/java/reedspring/rig/scale/ScaleRun.java
+++ b/src/rig/java/reedspring/rig/scale/ScaleRun.java
@@ -620,8 +620,9 @@
     }
 
     private void endOutage(String title) {
-        journal.setUnavailable(false);
+        // Read before the journal listens again: a front may connect before the call returns.
         long sinceNanos = System.nanoTime();
+        journal.setUnavailable(false);
         finalChecks.add(() -> {
             long[] peaks = journal.peakLoad(sinceNanos, sinceNanos + 5 * NANOS_PER_SECOND);
             double targetRequests = Math.max(1, size.fronts() * 100 / MEAN_RECONNECT_DELAY_MS);
