FrontIT counts the waiting commands before it sends the next one

Cause: aTruncatedOrMalformedAnswerClosesItsConnectionAndItsQueriesAreRetried read the count after the send.

Change: the count is read before the send. As strict as before: exactly one more is awaited.

--- a/src/test/java/reedspring/net/FrontIT.java
+++ b/src/test/java/reedspring/net/FrontIT.java
@@ -490,8 +490,9 @@
         for (int id = 1; id <= malformedAnswers.size(); id++) {
             // The other query on the connection is retried.
             String waitingTrace = Client.trace();
-            other.send(Client.query(id, waitingTrace, 4_000, "waits"));
+            // Counted before the send, as the engine may have the query before the send returns.
             int runs = waitingCommands.size();
+            other.send(Client.query(id, waitingTrace, 4_000, "waits"));
             await("the query at the engine", () -> waitingCommands.size() == runs + 1);
             String trace = Client.trace();
             assertEquals(EngineStandIn.page(trace, 0) + EngineStandIn.page(trace, 1),
