--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -4,7 +4,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -23,10 +22,8 @@
 import reedspring.boot.Times;
 import reedspring.core.policy.QueryLifecycle;
 import reedspring.core.policy.QueryLifecycle.Answer;
-import reedspring.core.policy.QueryLifecycle.SendFacts;
 import reedspring.core.policy.QueryLifecycle.Verdict;
 import reedspring.core.policy.RecentIds;
-import reedspring.net.ClientConnection.Presence;
 import reedspring.net.QueryHistory.Step;
 
 /**
@@ -53,7 +50,7 @@
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     /** Engine lists from the journal; processed before all other events. */
     private final ArrayDeque<Event> engineEvents = new ArrayDeque<>();
-    private final ArrayDeque<Submission> sendQueue = new ArrayDeque<>();
+    private final SubmissionQueue submissionQueue;
     private final EventLoop loop;
     private Runnable journalReader = () -> { };
     private Runnable listenerCloser = () -> { };
@@ -64,7 +61,6 @@
     private final Map<Long, OpenQuery> queriesByTrace = new HashMap<>();
     private final RecentIds recentTraces;
     private final ClientConnections clientConnections;
-    private boolean sendScheduled;
     private boolean deciding;
     private boolean enginesListed;
     private boolean leaving;
@@ -95,6 +91,7 @@
         this.clientConnections = new ClientConnections(this, limits);
         this.recentTraces = new RecentIds(limits.recentTraces);
         this.engines = runner.apply(this);
+        this.submissionQueue = new SubmissionQueue(this, engines);
         this.nextLogSummaryAt = clock.now() + limits.logIntervalMs * 10L;
         deciding = true;
         this.control = new Control(seed, deploymentReader.deployment(), clock.now(), this::performSafely);
@@ -202,7 +199,7 @@
      * selector returns ready sockets in any order: after a stall of the loop, queries could otherwise be sent
      * to an engine long after its drain notice had arrived in the front's own socket.
      */
-    private void readJournal() {
+    void readJournal() {
         long now = clock.now();
         if (now - journalReadAt >= limits.journalReadAgeMs * 10L) {
             journalReadAt = now;
@@ -323,7 +320,7 @@
     }
 
     /** Ends an open query: deferred if a retry is safe, else failed for the given reason. */
-    private void abandon(OpenQuery q, String reason) {
+    void abandon(OpenQuery q, String reason) {
         if (q.lifecycle.answerIfGivenUp() == Answer.DEFERRED) {
             defer(q, limits.retryAfterMs * 10L);
         } else {
@@ -386,7 +383,7 @@
     }
 
     /** Counts an operation that a lifecycle rule forbade; a breach indicates a bug and is logged. */
-    private void recordRefusal(Verdict verdict, OpenQuery q) {
+    void recordRefusal(Verdict verdict, OpenQuery q) {
         counters.add(verdict);
         if (verdict.breach()) {
             log.warnText("rule would be broken", "rule would be broken, not done: " + verdict + " " + q.trace
@@ -536,39 +533,7 @@
 
     /** Queues a submission whose connection is up; it is sent after this loop iteration's reads. */
     void queueForSending(Submission s) {
-        sendQueue.add(s);
-        if (!sendScheduled) {
-            sendScheduled = true;
-            loop.execute(this::sendQueued);
-        }
-    }
-
-    /**
-     * Sends the queued submissions, a limited number in a turn; there is no other path to an engine. The loop
-     * may have stalled since the decision, so the journal, the client and the connection are checked again
-     * right before the write. A submission that may no longer be sent is reported as never run.
-     */
-    private void sendQueued() {
-        List<Submission> postponed = new ArrayList<>();
-        for (int sent = 0; sent < limits.submissionsPerTurn && !sendQueue.isEmpty(); sent++) {
-            Submission s = sendQueue.poll();
-            try {
-                if (!sendIfClientIsRead(s)) {
-                    postponed.add(s);
-                }
-            } catch (RuntimeException | Error e) {
-                // Its own timeout ends it; the other submissions must still be sent.
-                log.error("a submission failed", e);
-            }
-        }
-        if (!sendQueue.isEmpty()) {
-            recordBudgetMet(LoopBudget.SUBMISSIONS, sendQueue.size() + " left");
-        }
-        sendQueue.addAll(postponed);
-        sendScheduled = !sendQueue.isEmpty();
-        if (sendScheduled) {
-            turns.runInNextTurn(this::sendQueued);
-        }
+        submissionQueue.add(s);
     }
 
     /** Counts that a limit of one turn of the event loop was reached. */
@@ -577,69 +542,6 @@
         log.warn(budget.event(), detail);
     }
 
-    /**
-     * Sends a submission, or ends it, once all that its client has sent by now is read: a revoke or the end
-     * may lie behind its request. Returns false if there is more to read than this turn allows.
-     */
-    private boolean sendIfClientIsRead(Submission s) {
-        readJournal();
-        Presence client = s.query.client == null || s.ended ? Presence.CONNECTED
-                : s.query.client.readPresence();
-        if (s.ended || s.connection == null) {
-            return true;
-        }
-        if (client != Presence.UNKNOWN) {
-            send(s, client == Presence.CONNECTED);
-            return true;
-        }
-        if (++s.unfinishedLooks < limits.maxUnfinishedLooks) {
-            return false;
-        }
-        counters.add(RequestRefusal.CLIENT_NEVER_READ);
-        log.warn("query turned away, its client sends without a pause", s.query.trace);
-        abandon(s.query, "the client sends too much");
-        submissionEnded(s, Outcome.NOT_SENT);
-        return true;
-    }
-
-    private void send(Submission s, boolean clientConnected) {
-        if (!s.connection.checkOpen()) {
-            // The engine closed the idle connection. Nothing was written, so use another connection.
-            Id.Engine engine = new Id.Engine(s.connection.engine());
-            s.connection.detach(s);
-            engines.send(engine, s);
-            return;
-        }
-        // Read the clock again: the checks above may have taken time.
-        Verdict verdict = s.query.lifecycle.send(new SendFacts(clock.now(), s.timeoutAt, s.latestSendAt,
-                clientConnected, s.connection.canSend()));
-        if (!verdict.allowed()) {
-            withhold(s, verdict);
-        } else if (s.connection.write(s)) {
-            s.query.history.add(Step.SENT, null, clock.now());
-        } else {
-            submissionEnded(s, Outcome.NOT_SENT);
-        }
-    }
-
-    private void withhold(Submission s, Verdict verdict) {
-        recordRefusal(verdict, s.query);
-        s.query.history.add(Step.WITHHELD, verdict, clock.now());
-        switch (verdict) {
-            case REPEAT_FORGOTTEN -> log.warn("submission withheld, its repeat would no longer be recognised",
-                    s.query.trace);
-            case ENGINE_NOT_READY -> log.warn("submission withheld, engine no longer up",
-                    s.connection.engine());
-            case DEADLINE_PASSED -> log.warn("submission withheld, its deadline has passed",
-                    s.query.trace);
-            default -> {
-                // Routine cases, such as a client that has left, are only counted.
-            }
-        }
-        submissionEnded(s, verdict == Verdict.ENGINE_NOT_READY || verdict == Verdict.REPEAT_FORGOTTEN
-                ? Outcome.WITHHELD : Outcome.NOT_SENT);
-    }
-
     /** Ends a submission with its outcome; later replies of the engine for it are ignored. */
     void submissionEnded(Submission s, Outcome observed) {
         if (s.ended) {
