Nobody makes room for a new connection once a look has found that one has ended

Cause: the choice of who makes room looks into sockets; a look can find an end, which frees a place. The choice went on all the same, and closed another connection, perhaps one in use.

Change: it ends as soon as a place is free.

--- a/src/main/java/reedspring/net/ClientConnections.java
+++ b/src/main/java/reedspring/net/ClientConnections.java
@@ -79,7 +79,7 @@
      * Returns the connection to close for a new one, or null. First come those that sent no valid request in
      * their grace period, and fresh ones if they hold a large part of all places; then the one idle for
      * longest, as its client can reconnect. The other fresh ones come last: they are probably about to send a
-     * request, which would be lost.
+     * request, which would be lost. None is closed if a look into its socket finds that one has ended.
      */
     private ClientConnection findReplaceable() {
         for (ClientConnection silent : List.copyOf(unusedConnections)) {
@@ -90,12 +90,18 @@
             if (isReplaceable(silent)) {
                 return silent;
             }
+            if (freePlaces() > 0) {
+                return null;
+            }
         }
         long now = front.clock().now();
         for (ClientConnection client : List.copyOf(usedConnections)) {
             if (client.isIdleSince(now) && isReplaceable(client)) {
                 return client;
             }
+            if (freePlaces() > 0) {
+                return null;
+            }
         }
         return unusedConnections.stream().findFirst().filter(ClientConnections::isReplaceable).orElse(null);
     }
