News go before submissions also where one turn can't read all of them

What lay behind them, drain notices too, waited for the next turns while submissions went on. A limit of 256 kB alone was tried next: lists of 25,000 engines then took dozens of turns, and decisions on so many engines (thread dumps: Control's periodic checks and sums) take most of each.

Change: a turn takes the largest event that is allowed and whole events of 256 kB.

--- a/src/main/java/reedspring/net/Front.java
+++ b/src/main/java/reedspring/net/Front.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.regex.Pattern;
@@ -52,11 +53,12 @@
     private final ArrayDeque<Event> engineEvents = new ArrayDeque<>();
     private final SubmissionQueue submissionQueue;
     private final EventLoop loop;
-    private Runnable journalReader = () -> { };
+    private BooleanSupplier journalReader = () -> true;
     private Runnable listenerCloser = () -> { };
     private AcceptGuard acceptGuard;
     private KeptAnswers keptAnswers;
     private long journalReadAt;
+    private boolean journalReadToEnd = true;
     private final Map<Id.Query, OpenQuery> queriesById = new LinkedHashMap<>();
     private final Map<Long, OpenQuery> queriesByTrace = new HashMap<>();
     private final RecentIds recentTraces;
@@ -189,8 +191,11 @@
         processEvents();
     }
 
-    /** Sets the reader that drains the journal's socket; it may find nothing to read. */
-    void setJournalReader(Runnable reader) {
+    /**
+     * Sets the reader of the journal's sockets; it may find nothing to read, and returns whether it has come
+     * to the end of what was there.
+     */
+    void setJournalReader(BooleanSupplier reader) {
         journalReader = reader;
     }
 
@@ -198,13 +203,16 @@
      * Reads pending journal events before a decision or a send, unless that was done a moment ago. The
      * selector returns ready sockets in any order: after a stall of the loop, queries could otherwise be sent
      * to an engine long after its drain notice had arrived in the front's own socket.
+     *
+     * @return whether all has been read; false if there is more than this turn allows
      */
-    void readJournal() {
+    boolean readJournal() {
         long now = clock.now();
-        if (now - journalReadAt >= limits.journalReadAgeMs * 10L) {
+        if (!journalReadToEnd || now - journalReadAt >= limits.journalReadAgeMs * 10L) {
             journalReadAt = now;
-            journalReader.run();
+            journalReadToEnd = journalReader.getAsBoolean();
         }
+        return journalReadToEnd;
     }
 
     // ---- clients
--- a/src/main/java/reedspring/net/Journal.java
+++ b/src/main/java/reedspring/net/Journal.java
@@ -69,9 +69,16 @@
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0);
     }
 
-    /** Reads all pending data from the sockets without waiting for the selector; not reentrant. */
-    void readNow() {
-        List.copyOf(subscriptions).forEach(Subscription::readNow);
+    /**
+     * Reads pending data from the sockets without waiting for the selector, as far as this turn allows; not
+     * reentrant. Returns whether all has been read.
+     */
+    boolean readNow() {
+        boolean allRead = true;
+        for (Subscription subscription : List.copyOf(subscriptions)) {
+            allRead &= subscription.readNow();
+        }
+        return allRead;
     }
 
     /** Loads the list of engines from the configuration. */
@@ -126,22 +133,24 @@
     /** One subscription to the journal's event stream, from connecting to closing. */
     private final class Subscription extends ChannelInboundHandlerAdapter {
         private final SocketReads socketReads =
-                new SocketReads(front, limits.journalReads, () -> this.eventCount);
+                new SocketReads(front, limits.journalReads, () -> this.eventBytes);
         private final EventStream events = new EventStream(limits.maxJournalEventBytes,
                 limits.journalActivityBytes, new EventStream.Listener() {
                     @Override
                     public void event(String id, byte[] data, int length) {
-                        eventCount++;
+                        eventBytes += length;
                         onEvent(id, data, length);
                     }
 
                     @Override
                     public void eventTooLong(String id, long bytes) {
+                        eventBytes += bytes;
                         skipOversized("journal event too long, ignored", bytes, limits.maxJournalEventBytes);
                     }
                 });
         private Channel channel;
-        private long eventCount;
+        /** Total size of the events received. */
+        private long eventBytes;
         private long lastReceivedAt;
         private boolean connected;
         private boolean accepted;
@@ -213,10 +222,8 @@
             }
         }
 
-        private void readNow() {
-            if (!reading && channel.isActive()) {
-                socketReads.readToEnd(channel);
-            }
+        private boolean readNow() {
+            return !channel.isActive() || !reading && socketReads.readToEnd(channel);
         }
 
         private void close() {
--- a/src/main/java/reedspring/net/Limits.java
+++ b/src/main/java/reedspring/net/Limits.java
@@ -62,8 +62,9 @@
             new ReadBudget.Limit(LoopBudget.CLIENT_READS, socketBytes, maxClientQueries, 1 << 10);
     /** Engines: the answers of a connection's usual number of submissions, 48 kB each. */
     final ReadBudget.Limit engineReads = new ReadBudget.Limit(LoopBudget.ENGINE_READS, 1 << 18, 128, 1 << 12);
-    /** The journal service: events, each of which may hold a list of all engines. */
-    final ReadBudget.Limit journalReads = new ReadBudget.Limit(LoopBudget.JOURNAL_READS, 1 << 18, 4, 1 << 12);
+    /** The journal service: the largest event, and whole events of this many bytes. */
+    final ReadBudget.Limit journalReads;
+    private static final int JOURNAL_EVENT_BYTES_PER_TURN = 1 << 18;
     final int submissionsPerTurn = 128;
     /** Connections accepted in one turn. */
     final int acceptsPerTurn;
@@ -72,6 +73,8 @@
      * more than that without a pause has its query turned away, as nobody knows whether it is still there.
      */
     final int maxUnfinishedLooks = 8;
+    /** Turns for which a submission waits until the journal's events have been read to the end. */
+    final int maxTurnsBehindJournal = 3;
 
     // All queries and the memory held for them: statements, unfinished messages, answers.
     final int queries = 2048;
@@ -164,6 +167,8 @@
         // memory thus uses most of the heap: 25,000 engines with 192 MB.
         maxJournalEventBytes = (int) Math.min(1 << 29, (memoryMb << 20) / 48);
         engines = maxJournalEventBytes / 160;
+        journalReads = new ReadBudget.Limit(LoopBudget.JOURNAL_READS,
+                maxJournalEventBytes + JOURNAL_EVENT_BYTES_PER_TURN, JOURNAL_EVENT_BYTES_PER_TURN, 1 << 12);
         // The descriptors besides the reserve are divided among clients, engines and half-closed connections.
         // Their sum stays below the limit, so that the journal service can always be reached, even if idle
         // clients use up their part while discovery is down.
--- a/src/main/java/reedspring/net/ReadBudget.java
+++ b/src/main/java/reedspring/net/ReadBudget.java
@@ -12,24 +12,24 @@
      *
      * @param kind what is counted when a connection reaches its limit
      * @param bytes bytes that may be read in one turn
-     * @param messages decoded messages in one turn at which no more input is handled
-     * @param sliceBytes input that is decoded before the messages are counted again
+     * @param decoded what may be decoded in one turn, by the connection's counter: messages, or bytes of them
+     * @param sliceBytes input that is decoded before that is counted again
      */
-    record Limit(LoopBudget kind, int bytes, int messages, int sliceBytes) {
+    record Limit(LoopBudget kind, int bytes, int decoded, int sliceBytes) {
     }
 
     private final EventLoopTurns turns;
     private final Limit limit;
-    private final LongSupplier messageCount;
+    private final LongSupplier decodedCount;
     private long turn = -1;
     private int bytesRead;
-    private long messagesBefore;
+    private long decodedBefore;
 
-    /** @param messageCount messages decoded on the connection so far */
-    ReadBudget(EventLoopTurns turns, Limit limit, LongSupplier messageCount) {
+    /** @param decodedCount what was decoded on the connection so far */
+    ReadBudget(EventLoopTurns turns, Limit limit, LongSupplier decodedCount) {
         this.turns = turns;
         this.limit = limit;
-        this.messageCount = messageCount;
+        this.decodedCount = decodedCount;
     }
 
     Limit limit() {
@@ -44,20 +44,20 @@
 
     /** Returns whether no more bytes may be read in this turn. */
     boolean isExhausted() {
-        return areMessagesExhausted() || bytesRead >= limit.bytes();
+        return isDecodingExhausted() || bytesRead >= limit.bytes();
     }
 
     /** Returns whether no more input may be decoded in this turn. */
-    boolean areMessagesExhausted() {
+    boolean isDecodingExhausted() {
         startTurn();
-        return messageCount.getAsLong() - messagesBefore >= limit.messages();
+        return decodedCount.getAsLong() - decodedBefore >= limit.decoded();
     }
 
     private void startTurn() {
         if (turn != turns.turnNumber()) {
             turn = turns.turnNumber();
             bytesRead = 0;
-            messagesBefore = messageCount.getAsLong();
+            decodedBefore = decodedCount.getAsLong();
         }
     }
 }
--- a/src/main/java/reedspring/net/SocketReads.java
+++ b/src/main/java/reedspring/net/SocketReads.java
@@ -40,14 +40,14 @@
     private long lastEmptyAt;
 
     /** For a connection whose arrival times are not needed. */
-    SocketReads(Front front, ReadBudget.Limit limit, LongSupplier messageCount) {
-        this(front, limit, messageCount, null);
+    SocketReads(Front front, ReadBudget.Limit limit, LongSupplier decodedCount) {
+        this(front, limit, decodedCount, null);
     }
 
-    /** @param messageCount messages decoded on the connection so far */
-    SocketReads(Front front, ReadBudget.Limit limit, LongSupplier messageCount, ArrivalBound arrival) {
+    /** @param decodedCount what was decoded on the connection so far */
+    SocketReads(Front front, ReadBudget.Limit limit, LongSupplier decodedCount, ArrivalBound arrival) {
         this.front = front;
-        this.budget = new ReadBudget(front.turns(), limit, messageCount);
+        this.budget = new ReadBudget(front.turns(), limit, decodedCount);
         this.arrival = arrival;
         this.createdInTurn = front.turns().turnNumber();
         this.lastReadAt = front.clock().now();
@@ -193,7 +193,7 @@
     private void deliver() {
         delivering = true;
         try {
-            while (undelivered != null && context.channel().isOpen() && !budget.areMessagesExhausted()) {
+            while (undelivered != null && context.channel().isOpen() && !budget.isDecodingExhausted()) {
                 context.fireChannelRead(nextSlice());
             }
         } finally {
--- a/src/main/java/reedspring/net/Submission.java
+++ b/src/main/java/reedspring/net/Submission.java
@@ -22,6 +22,8 @@
     boolean ended;
     /** Turns in which its client's input could not be read to the end before it was to be sent. */
     int unfinishedLooks;
+    /** Turns in which the journal could not be read to the end before it was to be sent. */
+    int turnsBehindJournal;
     /** Set once the engine has finished the query: the pages, null where one is still missing. */
     ByteBuf[] pages;
     int missingPages;
--- a/src/main/java/reedspring/net/SubmissionQueue.java
+++ b/src/main/java/reedspring/net/SubmissionQueue.java
@@ -41,7 +41,7 @@
         for (int sent = 0; sent < front.limits().submissionsPerTurn && !waiting.isEmpty(); sent++) {
             Submission s = waiting.poll();
             try {
-                if (!sendIfClientIsRead(s)) {
+                if (!sendIfAllIsRead(s)) {
                     postponed.add(s);
                 }
             } catch (RuntimeException | Error e) {
@@ -60,11 +60,15 @@
     }
 
     /**
-     * Sends a submission, or ends it, once all that its client has sent by now is read: a revoke or the end
-     * may lie behind its request. Returns false if there is more to read than this turn allows.
+     * Sends a submission, or ends it, once all that the journal and its client have sent by now is read: a
+     * drain notice, a revoke or the end of the connection. Returns false if there is more to read than this
+     * turn allows.
      */
-    private boolean sendIfClientIsRead(Submission s) {
-        front.readJournal();
+    private boolean sendIfAllIsRead(Submission s) {
+        if (!front.readJournal() && ++s.turnsBehindJournal < front.limits().maxTurnsBehindJournal) {
+            // The engine's drain notice may be among the rest.
+            return false;
+        }
         Presence client = s.query.client == null || s.ended ? Presence.CONNECTED
                 : s.query.client.readPresence();
         if (s.ended || s.connection == null) {
