ScaleIT: an invalid configuration is judged by the requests after it

Cause: a race of the rig. A front has a listening socket for each of its two addresses there, and twenty changes come within half a second: if the service's loop is late while the changes come quickly, it accepts all that wait on one socket, then all on the other, and reads the last but one change's request last.

Change: each request after the reload has to go to the address of the front's last valid configuration. That is stricter: a front that moves and comes back is found, too, and so is one that moves before the check begins.

--- a/src/rig/java/reedspring/rig/scale/ScaleRun.java
+++ b/src/rig/java/reedspring/rig/scale/ScaleRun.java
@@ -387,15 +387,20 @@
     /** Time at which a front was last killed or restarted. */
     private final Map<Integer, Long> restartNanos = new HashMap<>();
 
-    /** Checks that all fronts reject the invalid configuration, log the field, and keep the old one. */
+    /**
+     * Checks that all fronts reject the invalid configuration, log the field, and keep the old one: each
+     * later request goes to the address that the last valid one names. The requests before can't tell the
+     * old address, as the journal service may read those of quick changes in another order than sent.
+     */
     private void checkRejected(String title, long sinceNanos) {
         Set<Integer> fronts = liveFronts();
         log(title + ": reload of an invalid configuration triggered");
-        Map<Integer, Long> indexBefore = new HashMap<>();
-        fronts.forEach(front -> indexBefore.put(front, lastAddressIndex(front)));
+        Map<Integer, Integer> validIndexes = new HashMap<>();
+        fronts.forEach(front -> validIndexes.put(front, validAddressIndex(front)));
         schedule((sinceNanos - startNanos) / 100_000 + 30_000, () -> {
             for (int front : fronts) {
-                if (!restartedSince(front, sinceNanos) && lastAddressIndex(front) != indexBefore.get(front)) {
+                if (!restartedSince(front, sinceNanos) && journal.requestsSince(front, sinceNanos).stream()
+                        .anyMatch(request -> request[0] != validIndexes.get(front))) {
                     violations.add(title + ": front " + front
                             + " changed its journal address for an invalid configuration");
                 }
@@ -419,9 +424,11 @@
         });
     }
 
-    private long lastAddressIndex(int front) {
-        List<long[]> requests = journal.requestsSince(front, 0);
-        return requests.get(requests.size() - 1)[0];
+    /** Index of the journal address in a front's last valid configuration; it is restarted with the first. */
+    private int validAddressIndex(int front) {
+        boolean restarted = !changeNanos.isEmpty()
+                && restartedSince(front, changeNanos.get(changeNanos.size() - 1));
+        return restarted || configurationSuffix.equals("a") ? 0 : 1;
     }
 
     private Set<Integer> liveFronts() {
