--- a/review/src-2/Rig.java
+++ b/review/src-2/Rig.java
@@ -12,6 +12,12 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.StandardSocketOptions;
+import java.nio.channels.ClosedSelectorException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -357,19 +363,10 @@
             thread(name, this::accept);
         }
 
-        volatile boolean accepting = true;
-
         private void accept() {
             while (!server.isClosed()) {
                 try {
-                    while (!accepting) {
-                        sleep(5);
-                    }
-                    Socket socket = server.accept();
-                    socket.setTcpNoDelay(true);
-                    EngineLink link = new EngineLink(this, socket);
-                    links.add(link);
-                    thread(name + " link", () -> read(link));
+                    serve(server.accept());
                 } catch (IOException e) {
                     if (!server.isClosed()) {
                         record(name + ": " + e.getMessage());
@@ -378,6 +375,21 @@
             }
         }
 
+        /** An engine whose connections are accepted elsewhere. */
+        private Engine(String name, int port, boolean keep) {
+            this.name = name;
+            this.server = null;
+            this.port = port;
+            this.keep = keep;
+        }
+
+        private void serve(Socket socket) throws IOException {
+            socket.setTcpNoDelay(true);
+            EngineLink link = new EngineLink(this, socket);
+            links.add(link);
+            thread(name + " link", () -> read(link));
+        }
+
         private void read(EngineLink link) {
             try {
                 InputStream in = new BufferedInputStream(link.socket.getInputStream());
@@ -459,6 +471,61 @@
         }
     }
 
+    /** Many sound engines, each with a loopback address of its own, that are accepted for by one thread. */
+    static final class EngineFleet implements AutoCloseable {
+        final String[] hosts;
+        final Engine engine;
+        private final Selector selector = Selector.open();
+        private final List<ServerSocketChannel> listeners = new ArrayList<>();
+
+        EngineFleet(int count, double serviceMs) throws IOException {
+            OPEN.add(this);
+            hosts = new String[count];
+            engine = new Engine("engines", freePort(), false);
+            engine.serviceMs = serviceMs;
+            for (int k = 0; k < count; k++) {
+                String address = "127.1." + (k / 200) + "." + (1 + k % 200);
+                ServerSocketChannel listener = ServerSocketChannel.open();
+                listeners.add(listener);
+                listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+                listener.bind(new InetSocketAddress(InetAddress.getByName(address), engine.port));
+                listener.configureBlocking(false);
+                listener.register(selector, SelectionKey.OP_ACCEPT);
+                hosts[k] = host(String.format("s-%08x", k * 7919), engine.port, "ready", 0)
+                        .replace("127.0.0.1:", address + ":");
+            }
+            thread("engines", this::accept);
+        }
+
+        private void accept() {
+            try {
+                while (selector.isOpen()) {
+                    selector.select();
+                    for (SelectionKey key : selector.selectedKeys()) {
+                        SocketChannel accepted = ((ServerSocketChannel) key.channel()).accept();
+                        if (accepted != null) {
+                            engine.serve(accepted.socket());
+                        }
+                    }
+                    selector.selectedKeys().clear();
+                }
+            } catch (IOException | ClosedSelectorException e) {
+                if (selector.isOpen()) {
+                    record("engines: " + e.getMessage());
+                }
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            selector.close();
+            for (ServerSocketChannel listener : listeners) {
+                listener.close();
+            }
+            engine.links.forEach(EngineLink::close);
+        }
+    }
+
     /** The rows that an engine makes for a query: they name it. */
     static String rows(String id, int count) {
         StringBuilder text = new StringBuilder();
@@ -804,6 +871,11 @@
             return call;
         }
 
+        /** How many requests are open. */
+        int open() {
+            return (int) calls.values().stream().filter(call -> call.outcome == null).count();
+        }
+
         synchronized void revoke(Call call) throws IOException {
             ByteArrayOutputStream out = new ByteArrayOutputStream();
             out.write(0x93);
