--- a/review/src-2/SpoolOutgrowsMemory.java
+++ b/review/src-2/SpoolOutgrowsMemory.java
@@ -12,7 +12,10 @@
 final class SpoolOutgrowsMemory {
     /** LATER.md: 32 to 192 MB; up to 520 requests a second on one day. */
     private static final int MEMORY_MB = 80;
-    private static final int PAGED_PER_SECOND = 520;
+    private static final double PER_SECOND = 520;
+    /** 16 clients with 16 lookups every 2 s, from the 60th second on; there are as many fewer reports then. */
+    private static final double LOOKUPS_FROM_MS = 60_000;
+    private static final double LOOKUPS_PER_SECOND = 128;
     private static final String[] TENANTS = {"acme", "dom-lipa", "sklep-kalina"};
     private static final int TAKERS = 64;
     private static final double FILL_MS = 90_000;
@@ -108,14 +111,15 @@
             } catch (IOException e) {
                 client = null;
             }
-            Rig.sleep(Math.max(1, TAKERS * 1_000.0 / PAGED_PER_SECOND - (Rig.now() - started)));
+            double rate = PER_SECOND - (started < begin + LOOKUPS_FROM_MS ? 0 : LOOKUPS_PER_SECOND);
+            Rig.sleep(Math.max(1, TAKERS * 1_000.0 / rate - (Rig.now() - started)));
         }
     }
 
     /** Usual traffic at the end: bursts of lookups, fewer than a connection carries. */
     private static void ask(Rig.Front front, double begin, byte[] statement, List<Rig.Call> calls) {
         Rig.Client client = null;
-        Rig.sleep(Math.max(0, begin + 60_000 - Rig.now()));
+        Rig.sleep(Math.max(0, begin + LOOKUPS_FROM_MS - Rig.now()));
         while (Rig.now() < begin + END_MS) {
             try {
                 client = client == null || client.ended ? new Rig.Client(front.port) : client;
